--- /dev/null
+++ b/src/app/config.h
@@ -0,0 +1,47 @@
+// What a conductor on the platform is told when it starts.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "net/pool.h"
+#include "wire.h"
+
+namespace dahliastall::app {
+
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Limits {
+  std::size_t sockets = 1024;
+  // Shares of them: each request takes one connection on either side, and files and discovery a few.
+  std::size_t clients() const { return (sockets - spare()) / 2; }
+  std::size_t boxes() const { return sockets - spare() - clients(); }
+
+ private:
+  std::size_t spare() const { return 64; }
+};
+
+struct Config {
+  std::string name;
+  net::Endpoint listen, discovery;
+  std::uint64_t seed = 0;
+  Limits limits;
+  nlohmann::json known;
+  leverrelay::wire::Setup setup;
+  double idleCloseMs = 30'000;
+};
+
+using Environment = std::map<std::string, std::string>;
+Environment environmentOf(const char* const* variables);
+
+nlohmann::json readJson(const std::string& path);
+
+// GW_NAME, GW_LISTEN and GW_DISCOVERY come before what the file says. Throws ConfigError.
+Config configOf(const nlohmann::json& file, const Environment& environment);
+
+}  // namespace dahliastall::app
--- /dev/null
+++ b/src/core/conductor.cpp
@@ -0,0 +1,354 @@
+#include "core/conductor.h"
+
+#include <algorithm>
+#include <set>
+#include <type_traits>
+#include <variant>
+
+namespace dahliastall::core {
+
+using namespace leverrelay;
+
+namespace {
+
+// A drain is kept with this share of its grace to spare: connecting and a busy core take time.
+constexpr double kDrainShare = 0.8;
+// How long past deadline and grace the module may leave a request without an answer before the core gives
+// one.
+constexpr double kOverdueMs = 10;
+
+const char* nameOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kServed:
+      return "attempts.served";
+    case Outcome::kError:
+      return "attempts.error";
+    case Outcome::kFull:
+      return "attempts.turned_away";
+    case Outcome::kTimeout:
+      return "attempts.timed_out";
+    case Outcome::kNoConnection:
+      return "attempts.no_connection";
+    case Outcome::kConnectionLost:
+      return "attempts.reset";
+    case Outcome::kCancelled:
+      return "attempts.cancelled";
+    case Outcome::kNotSent:
+      return "attempts.not_sent";
+    case Outcome::kRead:
+      return "attempts.read";
+  }
+  return "attempts.unknown";
+}
+
+}  // namespace
+
+Conductor::Conductor(const Settings& settings, std::uint64_t seed, const Clock& clock, Deadlines& deadlines,
+                     Counters& counters)
+    : clock_(clock),
+      deadlines_(deadlines),
+      counters_(counters),
+      router_(settings, seed),
+      drainGraceMs_(toMs(settings.contract.drainGrace)),
+      answerGraceMs_(toMs(settings.contract.answerGrace)) {}
+
+// ---- From clients ----------------------------------------------------------------------------------
+
+std::optional<RequestKey> Conductor::take(Arrival arrival, std::shared_ptr<const Payload> payload,
+                                          std::shared_ptr<Answerer> answerer) {
+  if (byId_.count(arrival.request) != 0) return std::nullopt;
+  ++counters_["requests.taken"];
+  Request request;
+  request.id = arrival.request;
+  request.payload = std::move(payload);
+  request.answerer = std::move(answerer);
+  request.deadlineMs = clock_.nowMs() + toMs(arrival.timeLeft);
+  const RequestKey key = requests_.add(std::move(request));
+  byId_[arrival.request] = key;
+  ++unanswered_;
+  // Guards the one final answer against a module that forgets a request.
+  Request& r = *requests_.find(key);
+  r.overdue = deadlines_.add(r.deadlineMs + answerGraceMs_ + kOverdueMs, [this, key] {
+    Request* late = requests_.find(key);
+    if (late == nullptr || !late->answerer || late->streaming) return;
+    late->overdue.reset();
+    ++counters_["requests.overdue"];
+    conclude(*late)->fail(Failure::kDeadline);
+    lapsed_.push_back(key);
+    post(Lapsed{late->id});
+  });
+  post(std::move(arrival));
+  return key;
+}
+
+void Conductor::clientGone(RequestKey key) {
+  Request* r = requests_.find(key);
+  if (r == nullptr || !r->answerer) return;
+  ++counters_["requests.client_gone"];
+  conclude(*r);
+  lapsed_.push_back(key);
+  post(Lapsed{r->id});
+}
+
+void Conductor::clientReady(RequestKey key) {
+  const Request* r = requests_.find(key);
+  if (r != nullptr && r->streaming && attempts_.find(r->stream) != nullptr) engines_->resume(r->stream);
+}
+
+// ---- From discovery --------------------------------------------------------------------------------
+
+void Conductor::list(ListNews news) {
+  if (news.form != ListForm::kFailed) {
+    const double now = clock_.nowMs();
+    if (news.form != ListForm::kChanges) {
+      std::set<EngineId> named;
+      for (const ListEntry& entry : news.entries) named.insert(entry.engine);
+      for (const auto& [engine, listed] : listed_)
+        if (named.count(engine) == 0) toldOff_.try_emplace(engine, now);
+    }
+    for (const ListEntry& entry : news.entries) {
+      listed_[entry.engine] = true;
+      if (entry.presence == Presence::kActive) toldOff_.erase(entry.engine);
+      else toldOff_.try_emplace(entry.engine, now);
+    }
+  }
+  post(std::move(news));
+}
+
+// ---- From the engines' side ------------------------------------------------------------------------
+
+// Guards the drain rule: time passes between the module's decision and the first byte.
+bool Conductor::within(const EngineId& engine) const {
+  const auto told = toldOff_.find(engine);
+  return told == toldOff_.end() || clock_.nowMs() - told->second < drainGraceMs_ * kDrainShare;
+}
+
+bool Conductor::mayHold(const EngineId& engine) const { return within(engine); }
+
+bool Conductor::maySend(AttemptKey key) const {
+  const Attempt* a = attempts_.find(key);
+  if (a == nullptr || !within(a->engine)) return false;
+  const Request* r = requests_.find(a->request);
+  return r != nullptr && r->answerer && clock_.nowMs() < r->deadlineMs;
+}
+
+bool Conductor::passed(AttemptKey key, std::string_view part) {
+  Attempt* a = attempts_.find(key);
+  if (a == nullptr) return true;
+  Request* r = requests_.find(a->request);
+  if (!a->opened) {
+    // The first event ties the request to this attempt; a later copy's stream is dropped.
+    if (!r->answerer || r->streaming) {
+      engines_->abandon(key);
+      close(key, {Outcome::kCancelled});
+      return true;
+    }
+    a->opened = true;
+    r->streaming = true;
+    r->stream = key;
+    deadlines_.cancel(a->until);
+    deadlines_.cancel(r->overdue);
+    post(StreamOpened{r->id, a->number, a->engine, toModule(clock_.nowMs() - a->sentMs)});
+    a = attempts_.find(key);
+    if (a == nullptr) return true;
+    r = requests_.find(a->request);
+  }
+  if (!r->answerer) return true;
+  const std::shared_ptr<Answerer> answerer = r->answerer;
+  return answerer->pass(part);
+}
+
+void Conductor::ended(AttemptKey key, const Result& result) { close(key, result); }
+
+void Conductor::placeAnswered(AttemptKey reading, const EngineId& engine, bool held) {
+  const Attempt* a = attempts_.find(reading);
+  if (a == nullptr) return;  // the read has ended: its note would come too late to mean anything
+  post(PlaceNote{requests_.find(a->request)->id, a->number, engine, held});
+}
+
+void Conductor::probed(const EngineId& engine, double tookMs, bool answered) {
+  post(ProbeEnded{engine, toModule(tookMs), answered, std::nullopt});
+}
+
+// ---- Endings ---------------------------------------------------------------------------------------
+
+// The one gate for AttemptEnded: the attempt's slot goes with it, so that there cannot be a second.
+void Conductor::close(AttemptKey key, const Result& result) {
+  Attempt* a = attempts_.find(key);
+  if (a == nullptr) return;
+  deadlines_.cancel(a->until);
+  Request& r = *requests_.find(a->request);
+  const RequestKey owner = a->request;
+  ++counters_[nameOf(result.outcome)];
+  const bool streamed = a->opened;
+  AttemptEnded event{
+      r.id,  a->number,         a->engine,        result.outcome, toModule(clock_.nowMs() - a->sentMs),
+      false, result.keptTokens, result.stateGone, std::nullopt};
+  attempts_.remove(key);
+  --r.out;
+  if (r.answerer && (streamed || result.outcome == Outcome::kServed)) {
+    const std::shared_ptr<Answerer> answerer = conclude(r);
+    if (result.outcome == Outcome::kServed) {
+      ++counters_["requests.served"];
+      answerer->end();
+    } else {
+      ++counters_["requests.broken"];
+      answerer->broken();
+    }
+  }
+  event.concluded = !requests_.find(owner)->answerer;
+  post(std::move(event));
+  forgetIfDone(owner);
+}
+
+void Conductor::timeOut(AttemptKey key) {
+  Attempt* a = attempts_.find(key);
+  if (a == nullptr) return;
+  a->until.reset();
+  engines_->abandon(key);
+  close(key, {Outcome::kTimeout});
+}
+
+// The one gate for final answers: whoever gets the answerer out of here is the only one to use it.
+std::shared_ptr<Answerer> Conductor::conclude(Request& request) {
+  deadlines_.cancel(request.overdue);
+  --unanswered_;
+  return std::move(request.answerer);
+}
+
+void Conductor::forgetIfDone(RequestKey key) {
+  const Request* r = requests_.find(key);
+  if (r == nullptr || r->answerer || r->out != 0 || running_) return;
+  byId_.erase(r->id);
+  requests_.remove(key);
+}
+
+void Conductor::callOffAll(RequestKey key) {
+  const Request* r = requests_.find(key);
+  if (r == nullptr) return;
+  for (const AttemptKey attempt : std::vector(r->attempts)) {
+    if (attempts_.find(attempt) == nullptr) continue;
+    engines_->abandon(attempt);
+    close(attempt, {Outcome::kCancelled});
+  }
+}
+
+// ---- The module ------------------------------------------------------------------------------------
+
+void Conductor::post(Event event) {
+  events_.push_back(std::move(event));
+  run();
+}
+
+// Events that come up while the module's actions are carried out wait in line: the module sees one at a time.
+void Conductor::run() {
+  if (running_) return;
+  running_ = true;
+  std::vector<Action> actions;
+  std::vector<RequestId> touched;
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    if (const auto* ended = std::get_if<AttemptEnded>(&event)) touched.push_back(ended->request);
+    if (const auto* arrival = std::get_if<Arrival>(&event)) touched.push_back(arrival->request);
+    if (const auto* lapsed = std::get_if<Lapsed>(&event)) touched.push_back(lapsed->request);
+    actions.clear();
+    router_.handle(toModuleTime(clock_.nowMs()), event, actions);
+    for (const Action& action : actions) act(action);
+    // A client that is gone needs none of its attempts, whether or not the module may cancel.
+    for (const RequestKey key : std::exchange(lapsed_, {})) callOffAll(key);
+  }
+  running_ = false;
+  for (const RequestId& id : touched) {
+    const auto it = byId_.find(id);
+    if (it != byId_.end()) forgetIfDone(it->second);
+  }
+}
+
+Conductor::Request* Conductor::byId(const RequestId& id) {
+  const auto it = byId_.find(id);
+  return it == byId_.end() ? nullptr : requests_.find(it->second);
+}
+
+void Conductor::act(const Action& action) {
+  if (watch_) watch_(action);
+  std::visit(
+      [this](const auto& what) {
+        using What = std::decay_t<decltype(what)>;
+        if constexpr (std::is_same_v<What, Refuse>) {
+          Request* r = byId(what.request);
+          if (r == nullptr || !r->answerer || r->streaming) return;
+          ++counters_["requests.refused"];
+          conclude(*r)->refuse(what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt);
+        } else if constexpr (std::is_same_v<What, Fail>) {
+          Request* r = byId(what.request);
+          if (r == nullptr || !r->answerer || r->streaming) return;
+          ++counters_["requests.failed"];
+          conclude(*r)->fail(Failure::kModule);
+        } else if constexpr (std::is_same_v<What, Release>) {
+          ++counters_["releases.sent"];
+          engines_->release(what.request);
+        } else if constexpr (std::is_same_v<What, SetAlarm>) {
+          deadlines_.add(clock_.nowMs() + toMs(what.in),
+                         [this, alarm = what.alarm] { post(AlarmRang{alarm}); });
+        } else if constexpr (std::is_same_v<What, Probe>) {
+          ++counters_["probes.sent"];
+          engines_->probe(what.engine);
+        } else if constexpr (std::is_same_v<What, Log>) {
+          log_(what.text);
+        } else if constexpr (std::is_same_v<What, TellPeers> || std::is_same_v<What, Subscribe> ||
+                             std::is_same_v<What, FetchList>) {
+          // Conductors share nothing, and discovery here is always a watch that is open already.
+        } else {
+          carryOut(what);
+        }
+      },
+      action);
+}
+
+void Conductor::carryOut(const Send& send) {
+  Request* r = byId(send.request);
+  if (r == nullptr) return;
+  const RequestKey owner = byId_.at(send.request);
+  Attempt attempt;
+  attempt.request = owner;
+  attempt.number = static_cast<int>(r->attempts.size());
+  attempt.engine = send.engine;
+  attempt.sentMs = clock_.nowMs();
+  const AttemptKey key = attempts_.add(std::move(attempt));
+  r->attempts.push_back(key);
+  ++r->out;
+  ++counters_["attempts.sent"];
+  const double until = std::min(toMs(send.until) > 0 ? toMs(send.until) : r->deadlineMs, r->deadlineMs);
+  if (!maySend(key) || r->streaming) return close(key, {Outcome::kNotSent});
+  attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
+  engines_->start({key, owner, r->id, send.engine, r->payload, until});
+}
+
+void Conductor::carryOut(const HoldPlace& hold) {
+  Request* r = byId(hold.request);
+  if (r == nullptr || r->attempts.empty()) return;
+  ++counters_["places.asked"];
+  engines_->holdPlace(r->id, byId_.at(hold.request), r->attempts.back(), hold.engine);
+}
+
+void Conductor::carryOut(const Cancel& cancel) {
+  const Request* r = byId(cancel.request);
+  if (r == nullptr || cancel.attempt < 0) return;
+  if (static_cast<std::size_t>(cancel.attempt) >= r->attempts.size()) return;
+  const AttemptKey key = r->attempts[static_cast<std::size_t>(cancel.attempt)];
+  const Attempt* a = attempts_.find(key);
+  if (a == nullptr || (a->opened && r->answerer)) return;  // a begun stream belongs to its client
+  engines_->abandon(key);
+  close(key, {Outcome::kCancelled});
+}
+
+void Conductor::carryOut(const MoveStream& move) {
+  Request* r = byId(move.request);
+  if (r == nullptr || !r->streaming || attempts_.find(r->stream) == nullptr) return;
+  const AttemptKey key = r->stream;
+  engines_->abandon(key);
+  close(key, {Outcome::kConnectionLost});
+}
+
+}  // namespace dahliastall::core
--- /dev/null
+++ b/src/core/conductor.h
@@ -0,0 +1,109 @@
+// Owns every request and attempt, feeds the decision module with events and carries out its actions.
+// Holds two invariants whatever module, clients and engines do: a request gets one final answer, and each
+// Send gets one AttemptEnded.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "core/ports.h"
+#include "core/slots.h"
+#include "leverrelay/router.h"
+
+namespace dahliastall::core {
+
+class Conductor {
+ public:
+  Conductor(const leverrelay::Settings& settings, std::uint64_t seed, const Clock& clock,
+            Deadlines& deadlines, Counters& counters);
+
+  void connect(Engines& engines) { engines_ = &engines; }
+  void onLog(std::function<void(const std::string&)> log) { log_ = std::move(log); }
+  // Sees every action of the module before it is carried out.
+  void onAction(std::function<void(const leverrelay::Action&)> watch) { watch_ = std::move(watch); }
+
+  // From clients. Nothing if a request of this id is still known: the front answers that itself.
+  std::optional<RequestKey> take(leverrelay::Arrival arrival, std::shared_ptr<const Payload> payload,
+                                 std::shared_ptr<Answerer> answerer);
+  void clientGone(RequestKey key);
+  void clientReady(RequestKey key);
+
+  // From discovery.
+  void list(leverrelay::ListNews news);
+
+  // From the engines' side.
+  bool maySend(AttemptKey key) const;  // asked again just before a send that had to wait is written
+  bool mayHold(const leverrelay::EngineId& engine) const;
+  bool passed(AttemptKey key, std::string_view part);
+  void ended(AttemptKey key, const Result& result);
+  void placeAnswered(AttemptKey reading, const leverrelay::EngineId& engine, bool held);
+  void probed(const leverrelay::EngineId& engine, double tookMs, bool answered);
+
+  std::size_t open() const { return unanswered_; }  // requests that are owed an answer or its rest
+
+ private:
+  struct Attempt {
+    RequestKey request;
+    int number = 0;
+    leverrelay::EngineId engine;
+    double sentMs = 0;
+    bool opened = false;
+    std::optional<Deadlines::Key> until;
+  };
+  struct Request {
+    leverrelay::RequestId id;
+    std::shared_ptr<const Payload> payload;
+    std::shared_ptr<Answerer> answerer;  // none once the final answer is given or the client is gone
+    std::vector<AttemptKey> attempts;
+    std::size_t out = 0;
+    double deadlineMs = 0;
+    bool streaming = false;
+    AttemptKey stream;
+    std::optional<Deadlines::Key> overdue;
+  };
+
+  void post(leverrelay::Event event);
+  void run();
+  void act(const leverrelay::Action& action);
+  void carryOut(const leverrelay::Send& send);
+  void carryOut(const leverrelay::HoldPlace& hold);
+  void carryOut(const leverrelay::Cancel& cancel);
+  void carryOut(const leverrelay::MoveStream& move);
+
+  Request* byId(const leverrelay::RequestId& id);
+  void timeOut(AttemptKey key);
+  void close(AttemptKey key, const Result& result);
+  void callOffAll(RequestKey key);
+  std::shared_ptr<Answerer> conclude(Request& request);
+  void forgetIfDone(RequestKey key);
+  bool within(const leverrelay::EngineId& engine) const;
+
+  const Clock& clock_;
+  Deadlines& deadlines_;
+  Counters& counters_;
+  leverrelay::Router router_;
+  double drainGraceMs_, answerGraceMs_;
+  Engines* engines_ = nullptr;
+  std::function<void(const std::string&)> log_ = [](const std::string&) {};
+  std::function<void(const leverrelay::Action&)> watch_;
+  mutable Slots<Request> requests_;
+  mutable Slots<Attempt> attempts_;
+  std::map<leverrelay::RequestId, RequestKey> byId_;
+  std::map<leverrelay::EngineId, double> toldOff_;  // when the list said that it drains or is gone
+  std::map<leverrelay::EngineId, bool> listed_;
+  std::deque<leverrelay::Event> events_;
+  std::vector<RequestKey> lapsed_;
+  std::size_t unanswered_ = 0;
+  bool running_ = false;
+};
+
+}  // namespace dahliastall::core
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,63 @@
+// What the core asks of the fronts. Nothing here knows a wire.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/slots.h"
+#include "leverrelay/router.h"
+
+namespace dahliastall::core {
+
+using RequestKey = SlotKey;
+using AttemptKey = SlotKey;
+
+// What a front wants passed on with every attempt; the core only carries it.
+struct Payload {
+  virtual ~Payload() = default;
+};
+
+enum class Failure { kModule, kDeadline };  // the module gave it up; its time passed without an answer
+
+// The way back to one client.
+class Answerer {
+ public:
+  virtual ~Answerer() = default;
+  virtual void refuse(std::optional<double> retryAfterMs) = 0;
+  virtual void fail(Failure why) = 0;
+  virtual bool pass(std::string_view part) = 0;  // part of the stream; false: wait for clientReady()
+  virtual void end() = 0;                        // the stream is whole
+  virtual void broken() = 0;                     // the stream ends unfinished
+};
+
+struct Dispatch {
+  AttemptKey attempt;
+  RequestKey owner;
+  leverrelay::RequestId request;
+  leverrelay::EngineId engine;
+  std::shared_ptr<const Payload> payload;
+  double untilMs;
+};
+
+// The way to the engines. Whatever it reports comes through Conductor, also at once from within a call.
+class Engines {
+ public:
+  virtual ~Engines() = default;
+  virtual void start(const Dispatch& dispatch) = 0;
+  virtual void abandon(AttemptKey attempt) = 0;
+  virtual void resume(AttemptKey attempt) = 0;  // after Conductor::passed() said to wait
+  virtual void holdPlace(const leverrelay::RequestId& request, RequestKey owner, AttemptKey reading,
+                         const leverrelay::EngineId& engine) = 0;
+  virtual void release(const leverrelay::RequestId& request) = 0;
+  virtual void probe(const leverrelay::EngineId& engine) = 0;
+};
+
+struct Result {
+  leverrelay::Outcome outcome;
+  double keptTokens = 0;
+  bool stateGone = false;
+};
+
+}  // namespace dahliastall::core
--- /dev/null
+++ b/src/fronts/boxes/boxes.cpp
@@ -0,0 +1,344 @@
+#include "fronts/boxes/boxes.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+#include "fronts/boxes/usage.h"
+
+namespace dahliastall::fronts {
+
+using leverrelay::EngineId;
+using leverrelay::Outcome;
+using leverrelay::RequestId;
+
+namespace {
+
+constexpr double kReleaseTryMs = 60;     // for a box to answer a release before another is tried
+constexpr double kReleasePauseMs = 20;   // after no box could be reached
+constexpr double kPlaceAnswerMs = 1000;  // a box answers within 0.3 s, or is silent
+constexpr double kProbeAnswerMs = 1000;
+
+}  // namespace
+
+// ---- One attempt -----------------------------------------------------------------------------------
+
+class Boxes::AttemptCall final : public net::CallSink {
+ public:
+  AttemptCall(Boxes& boxes, const core::Dispatch& dispatch)
+      : boxes_(boxes), key_(dispatch.attempt), request_(dispatch.request), engine_(dispatch.engine) {}
+
+  core::AttemptKey key() const { return key_; }
+  void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
+  net::Call& call() { return *call_; }
+
+  // A place is asked for right after the last byte of the read: before it the box knows of no read.
+  void placeAt(const EngineId& engine) {
+    if (written_) boxes_.askPlace(request_, key_, engine);
+    else place_ = engine;
+  }
+
+  bool ready() override { return boxes_.conductor_.maySend(key_); }
+
+  void written() override {
+    written_ = true;
+    if (place_) boxes_.askPlace(request_, key_, *std::exchange(place_, std::nullopt));
+  }
+
+  void head(const net::ResponseHead& head) override {
+    status_ = head.result_int();
+    rejected_ = head.find(boxes_.dialect_.rejectedHeader) != head.end();
+    boxes_.heard(engine_);
+  }
+
+  bool body(std::string_view part) override {
+    usage_.see(part);
+    return status_ != 200 || boxes_.conductor_.passed(key_, part);
+  }
+
+  void done() override { end(result()); }
+
+  void failed(net::CallFailure why) override {
+    if (why != net::CallFailure::kWithdrawn) boxes_.unheard(engine_);
+    // After a reset the other idle connections to that box are as dead as this one was.
+    if (why == net::CallFailure::kReset)
+      if (const Box* box = boxes_.directory_.find(engine_)) boxes_.pool_.dropIdle(box->address);
+    end({why == net::CallFailure::kNoConnection ? Outcome::kNoConnection
+         : why == net::CallFailure::kReset      ? Outcome::kConnectionLost
+                                                : Outcome::kNotSent});
+  }
+
+ private:
+  core::Result result() const {
+    if (status_ == 200) return {Outcome::kServed, usage_.cachedTokens()};
+    if (status_ == 202) return {Outcome::kRead, usage_.cachedTokens()};
+    if (rejected_ && status_ == 410) return {Outcome::kFull, 0, true};
+    if (rejected_ && (status_ == 503 || status_ == 504)) return {Outcome::kFull};
+    return {Outcome::kError};
+  }
+
+  void end(const core::Result& result) {
+    Boxes& boxes = boxes_;
+    const core::AttemptKey key = key_;
+    boxes.attempts_.erase(key.slot);
+    boxes.conductor_.ended(key, result);
+  }
+
+  Boxes& boxes_;
+  core::AttemptKey key_;
+  RequestId request_;
+  EngineId engine_;
+  std::shared_ptr<net::Call> call_;
+  std::optional<EngineId> place_;
+  UsageReader usage_;
+  unsigned status_ = 0;
+  bool written_ = false, rejected_ = false;
+};
+
+// ---- Places, releases and probes -------------------------------------------------------------------
+
+class Boxes::PlaceCall final : public net::CallSink {
+ public:
+  PlaceCall(Boxes& boxes, core::AttemptKey reading, EngineId engine)
+      : boxes_(boxes), reading_(reading), engine_(std::move(engine)) {}
+
+  // After its read has ended a place would only be pinned.
+  bool ready() override { return boxes_.attempt(reading_) && boxes_.conductor_.mayHold(engine_); }
+  void head(const net::ResponseHead& head) override {
+    status_ = head.result_int();
+    boxes_.heard(engine_);
+  }
+  void done() override {
+    // 204: not known; it may be held, and a note that it is not would be a guess.
+    if (status_ == 200) boxes_.conductor_.placeAnswered(reading_, engine_, true);
+    if (status_ == 409 || status_ == 404) boxes_.conductor_.placeAnswered(reading_, engine_, false);
+  }
+  void failed(net::CallFailure) override {}
+
+ private:
+  Boxes& boxes_;
+  core::AttemptKey reading_;
+  EngineId engine_;
+  unsigned status_ = 0;
+};
+
+class Boxes::ReleaseCall final : public net::CallSink {
+ public:
+  ReleaseCall(Boxes& boxes, RequestId request, EngineId engine)
+      : boxes_(boxes), request_(std::move(request)), engine_(std::move(engine)) {}
+
+  void watch(std::shared_ptr<net::Call> call) {
+    if (over_) return;
+    limit_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + kReleaseTryMs, [this, call = std::move(call)] {
+      limit_.reset();
+      call->abandon();
+      failed(net::CallFailure::kReset);
+    });
+  }
+  void head(const net::ResponseHead& head) override {
+    boxes_.heard(engine_);
+    through_ = head.result_int() / 100 == 2;
+  }
+  void done() override { end(through_); }
+  void failed(net::CallFailure why) override {
+    if (why != net::CallFailure::kWithdrawn) boxes_.unheard(engine_);
+    end(false);
+  }
+
+ private:
+  void end(bool through) {
+    over_ = true;
+    boxes_.deadlines_.cancel(limit_);
+    Boxes& boxes = boxes_;
+    const RequestId request = request_;
+    boxes.released(request, through);
+  }
+
+  Boxes& boxes_;
+  RequestId request_;
+  EngineId engine_;
+  std::optional<core::Deadlines::Key> limit_;
+  bool through_ = false, over_ = false;
+};
+
+class Boxes::ProbeCall final : public net::CallSink {
+ public:
+  ProbeCall(Boxes& boxes, EngineId engine)
+      : boxes_(boxes), engine_(std::move(engine)), sentMs_(boxes.clock_.nowMs()) {}
+  void head(const net::ResponseHead& head) override {
+    well_ = head.result_int() == 200;
+    boxes_.heard(engine_);
+  }
+  void done() override { end(well_); }
+  void failed(net::CallFailure) override { end(false); }
+  void end(bool well) { boxes_.conductor_.probed(engine_, boxes_.clock_.nowMs() - sentMs_, well); }
+
+ private:
+  Boxes& boxes_;
+  EngineId engine_;
+  double sentMs_;
+  bool well_ = false;
+};
+
+// ---- Boxes -----------------------------------------------------------------------------------------
+
+Boxes::Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
+             const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
+             double releaseWithinMs)
+    : dialect_(std::move(dialect)),
+      conductor_(conductor),
+      pool_(pool),
+      directory_(directory),
+      clock_(clock),
+      deadlines_(deadlines),
+      counters_(counters),
+      releaseWithinMs_(releaseWithinMs) {
+  conductor_.connect(*this);
+}
+
+Boxes::~Boxes() = default;
+
+std::shared_ptr<Boxes::AttemptCall> Boxes::attempt(core::AttemptKey key) {
+  const auto it = attempts_.find(key.slot);
+  return it == attempts_.end() || it->second->key() != key ? nullptr : it->second;
+}
+
+std::string Boxes::head(const std::string& method, const std::string& target, const Box& box,
+                        net::Fields fields) const {
+  fields.insert(fields.begin(),
+                {"Host", box.address.address().to_string() + ":" + std::to_string(box.address.port())});
+  fields.insert(fields.end(), dialect_.extra.begin(), dialect_.extra.end());
+  return net::headText(method + " " + target + " HTTP/1.1", fields);
+}
+
+void Boxes::heard(const EngineId& engine) {
+  if (Box* box = directory_.find(engine)) box->heardMs = clock_.nowMs();
+}
+
+void Boxes::unheard(const EngineId& engine) {
+  if (Box* box = directory_.find(engine)) box->failedMs = clock_.nowMs();
+}
+
+void Boxes::start(const core::Dispatch& dispatch) {
+  const Box* box = directory_.find(dispatch.engine);
+  if (box == nullptr) return conductor_.ended(dispatch.attempt, {Outcome::kNotSent});
+  const auto& payload = static_cast<const ChatPayload&>(*dispatch.payload);
+  const double left = std::max(0.0, std::floor(dispatch.untilMs - clock_.nowMs()));
+  net::Fields fields{{dialect_.idHeader, dispatch.request.value},
+                     {dialect_.budgetHeader, std::to_string(static_cast<long>(left))},
+                     {"Content-Length", std::to_string(payload.body->size())}};
+  if (!payload.contentType.empty()) fields.emplace_back("Content-Type", payload.contentType);
+  const auto sink = std::make_shared<AttemptCall>(*this, dispatch);
+  attempts_[dispatch.attempt.slot] = sink;
+  sink->hold(pool_.call(box->address, head(payload.method, payload.target, *box, std::move(fields)),
+                        payload.body, sink));
+}
+
+void Boxes::abandon(core::AttemptKey key) {
+  const auto sink = attempt(key);
+  if (!sink) return;
+  attempts_.erase(key.slot);
+  sink->call().abandon();
+}
+
+void Boxes::resume(core::AttemptKey key) {
+  if (const auto sink = attempt(key)) sink->call().resume();
+}
+
+void Boxes::holdPlace(const RequestId& request, core::RequestKey, core::AttemptKey reading,
+                      const EngineId& engine) {
+  const auto release = releases_.find(request);
+  const auto ask = [this, reading, engine] {
+    if (const auto sink = attempt(reading)) sink->placeAt(engine);
+  };
+  // A release that is still under way would let go of the new place as well.
+  if (release != releases_.end()) release->second.after.emplace_back(ask);
+  else ask();
+}
+
+void Boxes::askPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
+  const Box* box = directory_.find(engine);
+  if (box == nullptr) return;
+  const auto call = pool_.call(box->address,
+                               head("POST", dialect_.roomsPath + request.value, *box,
+                                    {{dialect_.idHeader, request.value}, {"Content-Length", "0"}}),
+                               nullptr, std::make_shared<PlaceCall>(*this, reading, engine));
+  deadlines_.add(clock_.nowMs() + kPlaceAnswerMs, [call] { call->abandon(); });
+}
+
+void Boxes::release(const RequestId& request) {
+  auto [it, fresh] = releases_.try_emplace(request);
+  if (!fresh) {
+    it->second.again = true;
+    return;
+  }
+  it->second.giveUpMs = clock_.nowMs() + releaseWithinMs_;
+  tryRelease(request);
+}
+
+// Any live box passes a release on to all. First one with a connection at hand, of those the one heard last;
+// one that lately failed comes after those that did not.
+const EngineId* Boxes::nextForRelease(const std::set<EngineId>& tried) {
+  const EngineId* best = nullptr;
+  std::tuple<bool, bool, double> most;
+  for (const auto& [engine, box] : directory_.all()) {
+    if (tried.count(engine) != 0 || box.presence == leverrelay::Presence::kGone) continue;
+    const std::tuple<bool, bool, double> worth{box.heardMs >= box.failedMs, pool_.hasIdle(box.address),
+                                               box.heardMs};
+    if (best != nullptr && worth <= most) continue;
+    best = &engine;
+    most = worth;
+  }
+  return best;
+}
+
+void Boxes::tryRelease(const RequestId& request) {
+  Releasing& state = releases_.at(request);
+  const EngineId* const next = nextForRelease(state.tried);
+  if (next == nullptr && !state.tried.empty()) {  // once round; a box may be back after a breath
+    state.tried.clear();
+    state.call.reset();
+    deadlines_.add(clock_.nowMs() + kReleasePauseMs, [this, request] {
+      const auto it = releases_.find(request);
+      if (it != releases_.end() && !it->second.call) tryRelease(request);
+    });
+    return;
+  }
+  if (next == nullptr) return released(request, true);  // no boxes, so nothing is held anywhere
+  const EngineId engine = *next;
+  state.tried.insert(engine);
+  const Box& box = *directory_.find(engine);
+  const auto sink = std::make_shared<ReleaseCall>(*this, request, engine);
+  state.call = sink;
+  ++counters_["releases.tried"];
+  sink->watch(pool_.call(box.address,
+                         head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}}),
+                         nullptr, sink));
+}
+
+void Boxes::released(const RequestId& request, bool through) {
+  const auto it = releases_.find(request);
+  if (it == releases_.end()) return;
+  if (!through && clock_.nowMs() < it->second.giveUpMs) return tryRelease(request);
+  if (!through) ++counters_["releases.given_up"];
+  const auto after = std::exchange(it->second.after, {});
+  const bool again = it->second.again;
+  releases_.erase(it);
+  if (again) release(request);
+  for (const auto& ask : after) ask();
+}
+
+void Boxes::probe(const EngineId& engine) {
+  const Box* box = directory_.find(engine);
+  const auto sink = std::make_shared<ProbeCall>(*this, engine);
+  if (box == nullptr) return sink->end(false);
+  const auto call = pool_.call(box->address, head("GET", dialect_.healthPath, *box, {}), nullptr, sink);
+  deadlines_.add(clock_.nowMs() + kProbeAnswerMs, [call, sink] {
+    if (call->state() == net::Call::State::kOver) return;
+    call->abandon();
+    sink->end(false);
+  });
+}
+
+}  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/fronts/boxes/boxes.h
@@ -0,0 +1,85 @@
+// Speaks to the model boxes: a request to a reader or writer, places, releases and probes. Both fronts use
+// it; a dialect holds what they name differently.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/conductor.h"
+#include "fronts/boxes/directory.h"
+#include "net/message.h"
+#include "net/pool.h"
+
+namespace dahliastall::fronts {
+
+struct BoxDialect {
+  std::string idHeader;
+  std::string budgetHeader;
+  std::string rejectedHeader;  // marks an answer that proves that the request never ran
+  std::string roomsPath;       // of places and releases, with the slash before the id
+  std::string healthPath;
+  net::Fields extra;  // on every message
+};
+
+// What passes on unchanged to whichever box gets the request.
+struct ChatPayload final : core::Payload {
+  std::string method, target, contentType;
+  std::shared_ptr<const std::string> body;
+};
+
+class Boxes final : public core::Engines {
+ public:
+  Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
+        const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
+        double releaseWithinMs);
+  ~Boxes() override;
+
+  void start(const core::Dispatch& dispatch) override;
+  void abandon(core::AttemptKey attempt) override;
+  void resume(core::AttemptKey attempt) override;
+  void holdPlace(const leverrelay::RequestId& request, core::RequestKey owner, core::AttemptKey reading,
+                 const leverrelay::EngineId& engine) override;
+  void release(const leverrelay::RequestId& request) override;
+  void probe(const leverrelay::EngineId& engine) override;
+
+  std::size_t releasing() const { return releases_.size(); }
+
+ private:
+  class AttemptCall;
+  class PlaceCall;
+  class ReleaseCall;
+  class ProbeCall;
+  struct Releasing {
+    std::shared_ptr<ReleaseCall> call;
+    std::set<leverrelay::EngineId> tried;
+    double giveUpMs = 0;
+    bool again = false;  // asked for once more meanwhile: what the first could not see may be held now
+    std::vector<std::function<void()>> after;
+  };
+
+  std::shared_ptr<AttemptCall> attempt(core::AttemptKey key);
+  void askPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
+                const leverrelay::EngineId& engine);
+  void tryRelease(const leverrelay::RequestId& request);
+  void released(const leverrelay::RequestId& request, bool through);
+  const leverrelay::EngineId* nextForRelease(const std::set<leverrelay::EngineId>& tried);
+  std::string head(const std::string& method, const std::string& target, const Box& box,
+                   net::Fields fields) const;
+  void heard(const leverrelay::EngineId& engine);
+  void unheard(const leverrelay::EngineId& engine);
+
+  BoxDialect dialect_;
+  core::Conductor& conductor_;
+  net::Pool& pool_;
+  Directory& directory_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  double releaseWithinMs_;
+  std::map<std::uint32_t, std::shared_ptr<AttemptCall>> attempts_;  // by the number of the core's slot
+  std::map<leverrelay::RequestId, Releasing> releases_;
+};
+
+}  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/fronts/boxes/directory.h
@@ -0,0 +1,36 @@
+// Where the engines are and whether they are listed: what the module's names mean on the network.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "leverrelay/router.h"
+#include "net/pool.h"
+
+namespace dahliastall::fronts {
+
+struct Box {
+  net::Endpoint address;
+  leverrelay::Presence presence = leverrelay::Presence::kActive;
+  double startedMs = 0;
+  double heardMs = 0;   // when it last answered anything
+  double failedMs = 0;  // when it last could not be reached or did not answer
+};
+
+class Directory {
+ public:
+  Box* find(const leverrelay::EngineId& engine) {
+    const auto it = boxes_.find(engine);
+    return it == boxes_.end() ? nullptr : &it->second;
+  }
+  std::map<leverrelay::EngineId, Box>& all() { return boxes_; }
+
+ private:
+  std::map<leverrelay::EngineId, Box> boxes_;
+};
+
+// "host:port" with a numeric host; throws std::invalid_argument.
+net::Endpoint endpointOf(const std::string& hostPort);
+
+}  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/fronts/platform/discovery.h
@@ -0,0 +1,51 @@
+// The watch on the fleet list. While it is broken the list stays as it is and the watch is opened anew.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/conductor.h"
+#include "fronts/boxes/directory.h"
+#include "net/pool.h"
+#include "wire.h"
+
+namespace dahliastall::fronts {
+
+class Discovery {
+ public:
+  // droppable: the pool of the boxes, whose idle connections go when a box restarts or leaves.
+  Discovery(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
+            core::Counters& counters, core::Conductor& conductor, Directory& directory, net::Pool& droppable,
+            const leverrelay::wire::Vocabulary& names);
+
+  // The list that the configuration carries: possibly old. Throws on what is no list.
+  void known(const nlohmann::json& list);
+  void watch(const net::Endpoint& address);
+  // One line of the watch; false if it is no list.
+  bool line(std::string_view text);
+
+ private:
+  class Watch;
+
+  void open();
+  void broken();
+  void apply(const nlohmann::json& list, std::optional<leverrelay::ListForm> form);
+
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  core::Conductor& conductor_;
+  Directory& directory_;
+  net::Pool& boxes_;
+  const leverrelay::wire::Vocabulary& names_;
+  net::Pool own_;
+  net::Endpoint address_;
+  std::shared_ptr<Watch> watch_;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/fronts/platform/platform_front.cpp
@@ -0,0 +1,181 @@
+#include "fronts/platform/platform_front.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <stdexcept>
+
+namespace dahliastall::fronts {
+
+using leverrelay::Arrival;
+namespace http = boost::beast::http;
+
+namespace {
+
+std::string textOf(const net::HttpRequest& request, std::string_view name) {
+  const auto found = request.find(boost::beast::string_view(name.data(), name.size()));
+  return found == request.end() ? std::string() : std::string(found->value());
+}
+
+double numberOf(std::string_view text, const char* what) {
+  std::uint64_t value = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (fault != std::errc() || end != text.data() + text.size())
+    throw std::invalid_argument(std::string(what) + " is not a whole number");
+  return static_cast<double>(value);
+}
+
+// The id becomes part of paths and headers towards the boxes.
+bool plainId(const std::string& id) {
+  return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
+void readInfo(std::string_view info, Arrival& arrival) {
+  while (!info.empty()) {
+    const std::size_t comma = info.find(',');
+    std::string_view pair = info.substr(0, comma);
+    info = comma == std::string_view::npos ? std::string_view() : info.substr(comma + 1);
+    pair.remove_prefix(std::min(pair.find_first_not_of(' '), pair.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string_view name = pair.substr(0, equals), value = pair.substr(equals + 1);
+    if (name == "prefix") arrival.prefix = std::string(value);
+    if (name == "prompt_len") arrival.promptTokens = numberOf(value, "prompt_len");
+    if (name == "prefix_len") arrival.prefixTokens = numberOf(value, "prefix_len");
+    if (name == "max_out") arrival.maxTokens = numberOf(value, "max_out");
+  }
+}
+
+}  // namespace
+
+BoxDialect platformDialect() {
+  return {"X-Call-Id", "X-Budget-Ms", "X-Rejected", "/bootstrap/rooms/", "/-/healthy", {}};
+}
+
+Arrival arrivalOf(const net::HttpRequest& request, const leverrelay::wire::Vocabulary& names) {
+  Arrival arrival{};
+  arrival.request = {textOf(request, "X-Call-Id")};
+  if (!plainId(arrival.request.value))
+    throw std::invalid_argument("X-Call-Id is missing or not a plain word");
+  const auto cls = std::find(names.classes.begin(), names.classes.end(), textOf(request, "X-Call-Class"));
+  if (cls == names.classes.end()) throw std::invalid_argument("X-Call-Class is not a class of this site");
+  arrival.cls = {static_cast<std::uint32_t>(cls - names.classes.begin())};
+  const auto tenant = std::find(names.tenants.begin(), names.tenants.end(), textOf(request, "X-Caller"));
+  if (tenant != names.tenants.end())
+    arrival.tenant = leverrelay::TenantIndex{static_cast<std::uint32_t>(tenant - names.tenants.begin())};
+  arrival.session = textOf(request, "X-Route-Hash");
+  arrival.timeLeft = core::toModule(numberOf(textOf(request, "X-Budget-Ms"), "X-Budget-Ms"));
+  readInfo(textOf(request, "X-Call-Info"), arrival);
+  const std::string again = textOf(request, "X-Again");
+  arrival.repeat = again == "1";
+  arrival.resumed = again == "again";
+  return arrival;
+}
+
+// ---- Answers ---------------------------------------------------------------------------------------
+
+class PlatformFront::Answer final : public core::Answerer {
+ public:
+  Answer(PlatformFront& front, std::shared_ptr<net::ClientConnection> connection)
+      : front_(front), connection_(std::move(connection)) {}
+
+  void refuse(std::optional<double> retryAfterMs) override {
+    net::Fields fields{{"Content-Type", "text/plain"}};
+    if (retryAfterMs) {
+      std::array<char, 32> seconds{};
+      std::snprintf(seconds.data(), seconds.size(), "%.3f", *retryAfterMs / 1000);
+      fields.emplace_back("Retry-After", seconds.data());
+    }
+    over();
+    connection_->answer(503, std::move(fields), "refused; trying again is harmless\n");
+  }
+  void fail(core::Failure why) override {
+    over();
+    connection_->answer(why == core::Failure::kDeadline ? 504 : 502, {{"Content-Type", "text/plain"}},
+                        "failed\n");
+  }
+  bool pass(std::string_view part) override {
+    begin();
+    return connection_->pass(part);
+  }
+  void end() override {
+    begin();
+    over();
+    connection_->endStream();
+  }
+  void broken() override {
+    over();
+    connection_->breakOff();
+  }
+
+ private:
+  void begin() {
+    if (!begun_) connection_->beginStream({{"Content-Type", "text/event-stream"}});
+    begun_ = true;
+  }
+  void over() { front_.open_.erase(connection_.get()); }
+
+  PlatformFront& front_;
+  std::shared_ptr<net::ClientConnection> connection_;
+  bool begun_ = false;
+};
+
+// ---- Requests --------------------------------------------------------------------------------------
+
+PlatformFront::PlatformFront(core::Conductor& conductor, const leverrelay::wire::Vocabulary& names,
+                             const core::Clock& clock, core::Counters& counters)
+    : conductor_(conductor), names_(names), clock_(clock), counters_(counters) {}
+
+void PlatformFront::request(const std::shared_ptr<net::ClientConnection>& connection,
+                            net::HttpRequest&& request, double arrivedMs) {
+  if (request.method() == http::verb::get && request.target() == "/-/ready")
+    return connection->answer(200, {{"Content-Type", "text/plain"}}, "ready\n");
+  if (request.method() != http::verb::post) return reject(*connection, 404, "nothing here");
+  Arrival arrival{};
+  try {
+    arrival = arrivalOf(request, names_);
+  } catch (const std::invalid_argument& fault) {
+    return reject(*connection, 400, fault.what());
+  }
+  // The client's patience began when it sent the request; what reading it took is gone already.
+  arrival.timeLeft -= core::toModule(clock_.nowMs() - arrivedMs);
+  const auto payload = std::make_shared<ChatPayload>();
+  payload->method = std::string(request.method_string());
+  payload->target = std::string(request.target());
+  payload->contentType = textOf(request, "Content-Type");
+  payload->body = std::make_shared<const std::string>(std::move(request.body()));
+  // Known before it is taken: the module may answer at once.
+  const auto answer = std::make_shared<Answer>(*this, connection);
+  open_[connection.get()] = {};
+  const auto key = conductor_.take(std::move(arrival), payload, answer);
+  if (!key) {
+    open_.erase(connection.get());
+    return reject(*connection, 400, "a request with this X-Call-Id is under way");
+  }
+  const auto it = open_.find(connection.get());
+  if (it != open_.end()) it->second = *key;
+}
+
+void PlatformFront::gone(net::ClientConnection& connection) {
+  const auto it = open_.find(&connection);
+  if (it == open_.end()) return;
+  const core::RequestKey key = it->second;
+  open_.erase(it);
+  conductor_.clientGone(key);
+}
+
+void PlatformFront::drained(net::ClientConnection& connection) {
+  const auto it = open_.find(&connection);
+  if (it != open_.end()) conductor_.clientReady(it->second);
+}
+
+void PlatformFront::reject(net::ClientConnection& connection, unsigned status, std::string_view why) {
+  ++counters_["clients.rejected"];
+  connection.answer(status, {{"Content-Type", "text/plain"}}, std::string(why) + "\n");
+}
+
+}  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/net/client_connection.h
@@ -0,0 +1,87 @@
+// One client's connection: reads a request at a time, carries its answer, notices when the client goes.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "core/deadlines.h"
+#include "net/message.h"
+
+namespace dahliastall::net {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+class ClientConnection;
+
+// What stands behind the listener: a front.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  // Answers through the connection, now or later. arrivedMs: when the request's first byte was read.
+  virtual void request(const std::shared_ptr<ClientConnection>& connection, HttpRequest&& request,
+                       double arrivedMs) = 0;
+  // The client closed, or its connection broke, before the answer was complete.
+  virtual void gone(ClientConnection& connection) = 0;
+  virtual void drained(ClientConnection& connection) = 0;  // after pass() said to wait
+  // What is not to be understood as a request; the connection closes after the answer.
+  virtual void reject(ClientConnection& connection, unsigned status, std::string_view why) = 0;
+};
+
+class ClientConnection final : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  enum class State { kIdle, kReading, kAnswering, kStreaming, kFlushing, kClosed };
+
+  struct Owner {  // what the listener wants to know
+    virtual ~Owner() = default;
+    virtual void closed(const std::shared_ptr<ClientConnection>& connection) = 0;
+    virtual bool draining() const = 0;
+  };
+
+  ClientConnection(boost::asio::ip::tcp::socket socket, RequestHandler& handler, Owner& owner,
+                   const core::Clock& clock, core::Deadlines& deadlines);
+
+  void start();
+  State state() const { return state_; }
+  double idleSinceMs() const { return idleSince_; }
+
+  void answer(unsigned status, Fields fields, std::string_view body);
+  void beginStream(Fields fields);
+  bool pass(std::string_view part);  // false: enough is waiting to be written, until drained()
+  void endStream();
+  void breakOff();   // closes without a last chunk
+  void closeIdle();  // closes between two requests
+
+ private:
+  void read();
+  void onRead(const boost::system::error_code& error);
+  void refuseInput(const boost::system::error_code& error);
+  void watch();
+  void put(std::string_view bytes);
+  void flush();
+  void finished();
+  void linger();
+  void shut();
+
+  boost::asio::ip::tcp::socket socket_;
+  RequestHandler& handler_;
+  Owner& owner_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::string waiting_, writing_;
+  std::optional<core::Deadlines::Key> slow_;
+  State state_ = State::kIdle;
+  double idleSince_ = 0, firstByte_ = 0;
+  bool keepAlive_ = true, writes_ = false, held_ = false, watching_ = false, refused_ = false;
+};
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,51 @@
+// Accepts clients up to a cap, and closes the door in order when the program ends.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "net/client_connection.h"
+
+namespace dahliastall::net {
+
+class Listener final : public ClientConnection::Owner {
+ public:
+  // Throws boost::system::system_error if the address cannot be listened on.
+  Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t cap,
+           RequestHandler& handler, const core::Clock& clock, core::Deadlines& deadlines,
+           core::Counters& counters);
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+  // Goes on accepting while connections still arrive, then closes; done is called when all clients are gone.
+  void drain(std::function<void()> done);
+
+  void closed(const std::shared_ptr<ClientConnection>& connection) override;
+  bool draining() const override { return draining_; }
+  std::size_t size() const { return connections_.size(); }
+
+ private:
+  void accept();
+  void makeRoom();
+  void closeDoor();
+  void finishIfDone();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::size_t cap_;
+  RequestHandler& handler_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  std::set<std::shared_ptr<ClientConnection>> connections_;
+  std::function<void()> done_;
+  bool accepting_ = false, draining_ = false, doorClosed_ = false;
+};
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,27 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace dahliastall::net {
+
+Loop::Loop(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines)
+    : clock_(clock), deadlines_(deadlines), timer_(io) {
+  deadlines_.onEarlier([this] { arm(); });
+  arm();
+}
+
+void Loop::arm() {
+  const auto next = deadlines_.next();
+  if (!next) return;
+  const std::chrono::duration<double, std::milli> wait(std::max(0.0, *next - clock_.nowMs()));
+  // Setting the expiry cancels the wait before it, whose handler then finds an error and does nothing.
+  timer_.expires_after(std::chrono::ceil<std::chrono::steady_clock::duration>(wait));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    deadlines_.runDue(clock_.nowMs());
+    arm();
+  });
+}
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,24 @@
+// The program's one thread: an io_context whose single timer rings for the earliest of all deadlines.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+#include "core/deadlines.h"
+
+namespace dahliastall::net {
+
+class Loop {
+ public:
+  Loop(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines);
+
+ private:
+  void arm();
+
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/pool.cpp
@@ -0,0 +1,260 @@
+#include "net/pool.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace dahliastall::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+
+// Whether an idle connection can carry a request: nothing came on it, and its end neither.
+bool quiet(boost::asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto seen = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+// ---- Call ------------------------------------------------------------------------------------------
+
+Call::Call(Pool& pool, const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
+           std::shared_ptr<CallSink> sink)
+    : pool_(pool), to_(to), head_(std::move(head)), body_(std::move(body)), sink_(std::move(sink)) {}
+
+void Call::begin(std::shared_ptr<Link> link, bool fresh) {
+  link_ = std::move(link);
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->body_limit(boost::none);
+  if (fresh) connect();
+  else write();
+}
+
+void Call::connect() {
+  state_ = State::kConnecting;
+  ++pool_.counters_["links.opened"];
+  const auto self = shared_from_this();
+  dial_ = pool_.deadlines_.add(pool_.clock_.nowMs() + pool_.limits_.dialMs, [self] {
+    self->dial_.reset();
+    self->fail(CallFailure::kNoConnection);
+  });
+  link_->socket.async_connect(to_, [self](const boost::system::error_code& error) {
+    if (self->state_ != State::kConnecting) return;
+    self->pool_.deadlines_.cancel(self->dial_);
+    if (error) return self->fail(CallFailure::kNoConnection);
+    boost::system::error_code ignored;
+    self->link_->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    self->write();
+  });
+}
+
+void Call::write() {
+  state_ = State::kWriting;
+  // Time has passed if a connection had to be waited for: the sink looks at drains and deadlines once more.
+  const auto keep = sink_;
+  if (!keep->ready()) {
+    if (state_ != State::kWriting) return;
+    const auto link = std::exchange(link_, nullptr);
+    const auto sink = finish();
+    pool_.give(link);
+    return sink->failed(CallFailure::kWithdrawn);
+  }
+  if (state_ != State::kWriting) return;
+  const std::array<boost::asio::const_buffer, 2> parts{
+      boost::asio::buffer(head_), body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
+  const auto self = shared_from_this();
+  boost::asio::async_write(link_->socket, parts, [self](const boost::system::error_code& error, std::size_t) {
+    if (self->state_ != State::kWriting) return;
+    if (error) return self->fail(CallFailure::kNoConnection);
+    self->state_ = State::kHead;
+    const auto keep = self->sink_;
+    keep->written();
+    if (self->state_ == State::kHead) self->read();
+  });
+}
+
+void Call::read() {
+  if (reading_ || paused_) return;
+  reading_ = true;
+  const auto self = shared_from_this();
+  const auto link = link_;  // lives as long as the operation on it
+  link->socket.async_read_some(link->buffer.prepare(kReadSize),
+                               [self, link](const boost::system::error_code& error, std::size_t count) {
+                                 self->reading_ = false;
+                                 if (self->state_ == State::kOver) return;
+                                 if (error) return self->fail(CallFailure::kReset);
+                                 link->buffer.commit(count);
+                                 self->parse();
+                               });
+}
+
+void Call::parse() {
+  const auto keep = sink_;
+  boost::system::error_code error;
+  while (link_->buffer.size() > 0 && !parser_->is_done()) {
+    const std::size_t used = parser_->put(link_->buffer.data(), error);
+    link_->buffer.consume(used);
+    if (error == http::error::need_more) break;
+    if (error) return fail(CallFailure::kReset);  // no HTTP: nothing that follows can be trusted
+    if (used == 0) break;
+  }
+  if (parser_->is_header_done() && !headSeen_) {
+    headSeen_ = true;
+    state_ = State::kBody;
+    keep->head(parser_->get().base());
+    if (state_ == State::kOver) return;
+  }
+  if (headSeen_) {
+    const std::string part = std::exchange(parser_->get().body(), {});
+    if (!part.empty() && !keep->body(part)) paused_ = true;
+    if (state_ == State::kOver) return;
+  }
+  if (parser_->is_done()) return complete();
+  read();
+}
+
+void Call::complete() {
+  const bool again = parser_->keep_alive() && link_->buffer.size() == 0;
+  const auto link = std::exchange(link_, nullptr);
+  const auto sink = finish();
+  if (again) pool_.give(link);
+  else pool_.close(link);
+  sink->done();
+}
+
+void Call::resume() {
+  if (!std::exchange(paused_, false) || state_ != State::kBody) return;
+  read();
+}
+
+void Call::fail(CallFailure why) {
+  if (state_ == State::kOver) return;
+  const auto link = std::exchange(link_, nullptr);
+  const auto sink = finish();
+  if (link) pool_.close(link);
+  sink->failed(why);
+}
+
+void Call::abandon() {
+  if (state_ == State::kOver) return;
+  const auto link = std::exchange(link_, nullptr);
+  finish();
+  if (link) pool_.close(link);
+}
+
+std::shared_ptr<CallSink> Call::finish() {
+  state_ = State::kOver;
+  pool_.deadlines_.cancel(dial_);
+  return std::move(sink_);
+}
+
+// ---- Pool ------------------------------------------------------------------------------------------
+
+Pool::Pool(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
+           core::Counters& counters, Limits limits)
+    : io_(io), clock_(clock), deadlines_(deadlines), counters_(counters), limits_(limits) {}
+
+Pool::~Pool() {
+  for (const auto& link : idle_) deadlines_.cancel(link->retire);
+}
+
+std::shared_ptr<Call> Pool::call(const Endpoint& to, std::string head,
+                                 std::shared_ptr<const std::string> body, std::shared_ptr<CallSink> sink) {
+  const auto call = std::make_shared<Call>(*this, to, std::move(head), std::move(body), std::move(sink));
+  if (!admit(call)) {
+    ++counters_["calls.waited"];
+    waiting_.push_back(call);  // the caller's deadline takes it out of the line by abandon()
+  }
+  return call;
+}
+
+bool Pool::admit(const std::shared_ptr<Call>& call) {
+  if (auto link = takeIdle(call->to_)) {
+    call->begin(std::move(link), false);
+    return true;
+  }
+  if (open_ >= limits_.connections && !idle_.empty()) close(idle_.front());
+  if (open_ >= limits_.connections) return false;
+  auto link = std::make_shared<Link>(io_);
+  link->to = call->to_;
+  ++open_;
+  call->begin(std::move(link), true);
+  return true;
+}
+
+// The one used last: it is the least likely to be closed, and the others can age and go.
+std::shared_ptr<Link> Pool::takeIdle(const Endpoint& to) {
+  for (auto it = idle_.end(); it != idle_.begin();) {
+    --it;
+    if ((*it)->to != to) continue;
+    const auto link = *it;
+    it = idle_.erase(it);
+    deadlines_.cancel(link->retire);
+    if (quiet(link->socket)) {
+      boost::system::error_code ignored;
+      link->socket.cancel(ignored);  // the watch for its end
+      return link;
+    }
+    close(link);
+    it = idle_.end();
+  }
+  return nullptr;
+}
+
+bool Pool::hasIdle(const Endpoint& to) const {
+  return std::any_of(idle_.begin(), idle_.end(), [&](const auto& link) { return link->to == to; });
+}
+
+void Pool::give(std::shared_ptr<Link> link) {
+  idle_.push_back(link);
+  link->retire = deadlines_.add(clock_.nowMs() + limits_.idleMs, [this, link] { close(link); });
+  link->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                          [this, weak = std::weak_ptr(link)](const boost::system::error_code& error) {
+                            if (error) return;
+                            if (const auto idle = weak.lock(); idle && idle->retire) close(idle);
+                          });
+  serveWaiting();
+}
+
+void Pool::close(const std::shared_ptr<Link>& link) {
+  if (link->to == Endpoint()) return;  // closed before
+  idle_.remove(link);
+  deadlines_.cancel(link->retire);
+  boost::system::error_code ignored;
+  link->socket.close(ignored);
+  link->to = Endpoint();
+  --open_;
+  serveWaiting();
+}
+
+void Pool::dropIdle(const Endpoint& to) {
+  for (const auto& link : std::vector(idle_.begin(), idle_.end()))
+    if (link->to == to) close(link);
+}
+
+// Later, not from within whoever gave a connection back.
+void Pool::serveWaiting() {
+  if (serving_ || waiting_.empty()) return;
+  serving_ = true;
+  boost::asio::post(io_, [this] {
+    serving_ = false;
+    while (!waiting_.empty()) {
+      const auto call = waiting_.front();
+      if (call->state() == Call::State::kWaiting && !admit(call)) return;
+      waiting_.pop_front();
+    }
+  });
+}
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/pool.h
@@ -0,0 +1,131 @@
+// Connections to engines: bounded, kept alive, retired well before the other side would close them. A call is
+// one request on one connection; nothing is ever sent again by itself.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+
+namespace dahliastall::net {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+using ResponseHead = boost::beast::http::response_header<>;
+
+enum class CallFailure {
+  kNoConnection,  // nothing of it can have run: the request's last byte was not written
+  kReset,         // broken after the request was written
+  kWithdrawn      // the sink took it back when its connection was ready
+};
+
+// Who made a call. Called in this order: ready, written, head, body..., then done or failed; never after
+// Call::abandon().
+class CallSink {
+ public:
+  virtual ~CallSink() = default;
+  virtual bool ready() { return true; }  // a connection is there; false takes the call back
+  virtual void written() {}              // the request's last byte is out
+  virtual void head(const ResponseHead&) {}
+  virtual bool body(std::string_view) { return true; }  // false: read no more until Call::resume()
+  virtual void done() = 0;                              // the answer is whole
+  virtual void failed(CallFailure why) = 0;
+};
+
+class Pool;
+
+struct Link {  // one connection
+  explicit Link(boost::asio::io_context& io) : socket(io) {}
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  Endpoint to;
+  std::optional<core::Deadlines::Key> retire;
+};
+
+class Call final : public std::enable_shared_from_this<Call> {
+ public:
+  enum class State { kWaiting, kConnecting, kWriting, kHead, kBody, kOver };
+
+  Call(Pool& pool, const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
+       std::shared_ptr<CallSink> sink);
+
+  State state() const { return state_; }
+  void abandon();  // closes the connection; the sink hears no more
+  void resume();
+
+ private:
+  friend class Pool;
+
+  void begin(std::shared_ptr<Link> link, bool fresh);
+  void connect();
+  void write();
+  void read();
+  void parse();
+  void complete();
+  void fail(CallFailure why);
+  std::shared_ptr<CallSink> finish();
+
+  Pool& pool_;
+  Endpoint to_;
+  std::string head_;
+  std::shared_ptr<const std::string> body_;
+  std::shared_ptr<CallSink> sink_;
+  std::shared_ptr<Link> link_;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::optional<core::Deadlines::Key> dial_;
+  State state_ = State::kWaiting;
+  bool paused_ = false, headSeen_ = false, reading_ = false;
+};
+
+class Pool {
+ public:
+  struct Limits {
+    std::size_t connections;  // open at a time, idle ones counted
+    double dialMs;            // to come up
+    double idleMs;            // kept unused at most
+  };
+
+  Pool(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
+       core::Counters& counters, Limits limits);
+  ~Pool();
+
+  std::shared_ptr<Call> call(const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
+                             std::shared_ptr<CallSink> sink);
+  void dropIdle(const Endpoint& to);
+  bool hasIdle(const Endpoint& to) const;
+  std::size_t size() const { return open_; }
+
+ private:
+  friend class Call;
+  using Idle = std::list<std::shared_ptr<Link>>;  // in the order they fell idle
+
+  bool admit(const std::shared_ptr<Call>& call);
+  std::shared_ptr<Link> takeIdle(const Endpoint& to);
+  void give(std::shared_ptr<Link> link);
+  void close(const std::shared_ptr<Link>& link);
+  void forgetIdle(const std::shared_ptr<Link>& link);
+  void serveWaiting();
+
+  boost::asio::io_context& io_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  Limits limits_;
+  Idle idle_;
+  std::deque<std::shared_ptr<Call>> waiting_;
+  std::size_t open_ = 0;
+  bool serving_ = false;
+};
+
+}  // namespace dahliastall::net
