--- /dev/null
+++ b/example/toy_box.cpp
@@ -0,0 +1,101 @@
+// A toy model box: answers each chat request with a few streamed words. For trying the conductor, nothing
+// else.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "fronts/boxes/directory.h"
+#include "net/listener.h"
+#include "net/loop.h"
+
+namespace {
+
+using namespace dahliastall;
+using nlohmann::json;
+
+constexpr double kWordEveryMs = 150;
+constexpr const char* kWords[] = {"The", " club", " opens", " at", " seven", "."};
+
+json chunkOf(const std::string& model, json delta, json finish) {
+  return {{"id", "chatcmpl-toy"},
+          {"object", "chat.completion.chunk"},
+          {"created", 0},
+          {"model", model},
+          {"choices", {{{"index", 0}, {"delta", std::move(delta)}, {"finish_reason", std::move(finish)}}}}};
+}
+
+class ToyBox final : public net::RequestHandler {
+ public:
+  ToyBox(std::string name, const core::Clock& clock, core::Deadlines& deadlines)
+      : name_(std::move(name)), clock_(clock), deadlines_(deadlines) {}
+
+  void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&& request,
+               double) override {
+    std::cout << name_ << ": " << request.method_string() << ' ' << request.target() << std::endl;
+    if (request.method_string() == "DELETE") return connection->answer(204, {}, "");
+    const json body = json::parse(request.body(), nullptr, /*allow_exceptions=*/false);
+    if (!body.is_object() || !body.contains("messages")) return connection->answer(404, {}, "");
+    connection->beginStream({{"Content-Type", "text/event-stream"}});
+    word(connection, body.value("model", ""), 0);
+  }
+  void gone(net::ClientConnection&) override {}
+  void drained(net::ClientConnection&) override {}
+  void reject(net::ClientConnection& connection, unsigned status, std::string_view why) override {
+    connection.answer(status, {}, why);
+  }
+
+ private:
+  void word(const std::shared_ptr<net::ClientConnection>& connection, const std::string& model,
+            std::size_t index) {
+    if (connection->state() != net::ClientConnection::State::kStreaming) return;
+    if (index < std::size(kWords)) {
+      say(*connection, chunkOf(model, {{"content", kWords[index]}}, nullptr));
+      deadlines_.add(clock_.nowMs() + kWordEveryMs,
+                     [this, connection, model, index] { word(connection, model, index + 1); });
+      return;
+    }
+    say(*connection, chunkOf(model, json::object(), "stop"));
+    say(*connection, {{"id", "chatcmpl-toy"},
+                      {"object", "chat.completion.chunk"},
+                      {"choices", json::array()},
+                      {"usage", {{"prompt_tokens", 8}, {"completion_tokens", std::size(kWords)}}}});
+    connection->pass("data: [DONE]\n\n");
+    connection->endStream();
+  }
+  static void say(net::ClientConnection& connection, const json& chunk) {
+    connection.pass("data: " + chunk.dump() + "\n\n");
+  }
+
+  std::string name_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    if (argc != 2) {
+      std::cerr << "usage: toy_box 127.0.0.1:PORT\n";
+      return 2;
+    }
+    boost::asio::io_context io;
+    const core::SystemClock clock;
+    core::Deadlines deadlines;
+    core::Counters counters;
+    const net::Loop loop(io, clock, deadlines);
+    ToyBox box(argv[1], clock, deadlines);
+    net::Listener listener(io, fronts::endpointOf(argv[1]), 100, box, clock, deadlines, counters);
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+    std::cout << argv[1] << ": a toy box listens" << std::endl;
+    io.run();
+    return 0;
+  } catch (const std::exception& fault) {
+    std::cerr << "toy_box: " << fault.what() << '\n';
+    return 1;
+  }
+}
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -198,7 +198,10 @@
   conductor_.connect(*this);
 }
 
-Boxes::~Boxes() = default;
+// A call and its sink hold each other while it runs.
+Boxes::~Boxes() {
+  for (const auto& [slot, sink] : attempts_) sink->call().abandon();
+}
 
 std::shared_ptr<Boxes::AttemptCall> Boxes::attempt(core::AttemptKey key) {
   const auto it = attempts_.find(key.slot);
--- a/src/fronts/platform/discovery.cpp
+++ b/src/fronts/platform/discovery.cpp
@@ -37,6 +37,11 @@
     sign();
   }
 
+  void close() {
+    owner_.deadlines_.cancel(silent_);
+    call_->abandon();
+  }
+
   void head(const net::ResponseHead& head) override { good_ = head.result_int() == 200; }
   bool body(std::string_view part) override {
     sign();
@@ -93,6 +98,11 @@
       names_(names),
       own_(io, clock, deadlines, counters, {2, kDialMs, 1000}) {}
 
+// A call and its sink hold each other while it runs.
+Discovery::~Discovery() {
+  if (watch_) watch_->close();
+}
+
 void Discovery::known(const json& list) { apply(list, ListForm::kCached); }
 
 void Discovery::watch(const net::Endpoint& address) {
--- a/src/fronts/platform/discovery.h
+++ b/src/fronts/platform/discovery.h
@@ -22,6 +22,8 @@
             core::Counters& counters, core::Conductor& conductor, Directory& directory, net::Pool& droppable,
             const leverrelay::wire::Vocabulary& names);
 
+  ~Discovery();
+
   // The list that the configuration carries: possibly old. Throws on what is no list.
   void known(const nlohmann::json& list);
   void watch(const net::Endpoint& address);
