--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -325,14 +325,14 @@
   const double until = std::min(toMs(send.until) > 0 ? toMs(send.until) : r->deadlineMs, r->deadlineMs);
   if (!maySend(key) || r->streaming) return close(key, {Outcome::kNotSent});
   attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
-  engines_->start({key, owner, r->id, send.engine, r->payload, until});
+  engines_->start({key, r->id, send.engine, r->payload, until});
 }
 
 void Conductor::carryOut(const HoldPlace& hold) {
   Request* r = byId(hold.request);
   if (r == nullptr || r->attempts.empty()) return;
   ++counters_["places.asked"];
-  engines_->holdPlace(r->id, byId_.at(hold.request), r->attempts.back(), hold.engine);
+  engines_->holdPlace(r->id, r->attempts.back(), hold.engine);
 }
 
 void Conductor::carryOut(const Cancel& cancel) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -95,8 +95,8 @@
   Engines* engines_ = nullptr;
   std::function<void(const std::string&)> log_ = [](const std::string&) {};
   std::function<void(const leverrelay::Action&)> watch_;
-  mutable Slots<Request> requests_;
-  mutable Slots<Attempt> attempts_;
+  Slots<Request> requests_;
+  Slots<Attempt> attempts_;
   std::map<leverrelay::RequestId, RequestKey> byId_;
   std::map<leverrelay::EngineId, double> toldOff_;  // when the list said that it drains or is gone
   std::map<leverrelay::EngineId, bool> listed_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -40,7 +40,6 @@
 
 struct Dispatch {
   AttemptKey attempt;
-  RequestKey owner;
   leverrelay::RequestId request;
   leverrelay::EngineId engine;
   std::shared_ptr<const Payload> payload;
@@ -54,7 +53,7 @@
   virtual void start(const Dispatch& dispatch) = 0;
   virtual void abandon(AttemptKey attempt) = 0;
   virtual void resume(AttemptKey attempt) = 0;  // after Conductor::passed() said to wait
-  virtual void holdPlace(const leverrelay::RequestId& request, RequestKey owner, AttemptKey reading,
+  virtual void holdPlace(const leverrelay::RequestId& request, AttemptKey reading,
                          const leverrelay::EngineId& engine) = 0;
   virtual void release(const leverrelay::RequestId& request) = 0;
   virtual void probe(const leverrelay::EngineId& engine) = 0;
--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -36,6 +36,8 @@
     return entry.value && entry.generation == key.generation ? &*entry.value : nullptr;
   }
 
+  const Value* find(SlotKey key) const { return const_cast<Slots*>(this)->find(key); }
+
   bool remove(SlotKey key) {
     if (find(key) == nullptr) return false;
     entries_[key.slot].value.reset();
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -250,8 +250,7 @@
   if (const auto sink = attempt(key)) sink->call().resume();
 }
 
-void Boxes::holdPlace(const RequestId& request, core::RequestKey, core::AttemptKey reading,
-                      const EngineId& engine) {
+void Boxes::holdPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
   const auto release = releases_.find(request);
   const auto ask = [this, reading, engine] {
     if (const auto sink = attempt(reading)) sink->placeAt(engine);
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -39,7 +39,7 @@
   void start(const core::Dispatch& dispatch) override;
   void abandon(core::AttemptKey attempt) override;
   void resume(core::AttemptKey attempt) override;
-  void holdPlace(const leverrelay::RequestId& request, core::RequestKey owner, core::AttemptKey reading,
+  void holdPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
                  const leverrelay::EngineId& engine) override;
   void release(const leverrelay::RequestId& request) override;
   void probe(const leverrelay::EngineId& engine) override;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -93,7 +93,7 @@
   }
   void abandon(AttemptKey key) override { abandoned += drop(key); }
   void resume(AttemptKey) override {}
-  void holdPlace(const RequestId&, RequestKey, AttemptKey, const EngineId&) override { ++places; }
+  void holdPlace(const RequestId&, AttemptKey, const EngineId&) override { ++places; }
   void release(const RequestId& request) override { released.push_back(request); }
   void probe(const EngineId&) override {}
   int drop(AttemptKey key) {
--- a/tests/support/stage.h
+++ b/tests/support/stage.h
@@ -90,8 +90,12 @@
   void accept() {
     socket_ = tcp::socket(io_);
     acceptor_.accept(socket_);
+    socket_.set_option(tcp::no_delay(true));
+  }
+  void connect(const net::Endpoint& to) {
+    socket_.connect(to);
+    socket_.set_option(tcp::no_delay(true));
   }
-  void connect(const net::Endpoint& to) { socket_.connect(to); }
   void write(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
   std::string readSome() {
     std::string bytes(64 * 1024, '\0');
