Take spoilt answers as errors, skip 1xx heads, pass whole events only, rest reused links

At fault: Call::parse() reported what it could not read as kReset, which the module holds for certain; it took any head for the answer; Call::complete() looked for more bytes in its own buffer only; AttemptCall::body() passed the first bytes on, whole event or not, and done() took any last chunk.

Now: kGarbled is an outcome of its own (an error that may have run: no passing over for one, and never a second run of what must not run twice). EventGate lets whole events through and knows at once what is no stream of events; a stream is whole only with its [DONE], and ends 1 s after it if the last chunk does not come.

--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -16,6 +16,7 @@
 constexpr double kIdleShare = 0.6;
 // For a release: its limit on sockets is the settings' and 300 ms more; this much of that is not used.
 constexpr double kReleaseExtraMs = 200;
+constexpr std::uint64_t kAnswerBytes = 16 << 20;  // of a box's answer, far above the longest stream
 
 void letReloadsThrough() {
   sigset_t reloads;
@@ -45,7 +46,8 @@
       loop(io, clock, deadlines),
       conductor(setup.settings, seed, clock, deadlines, counters),
       pool(io, clock, deadlines, counters,
-           {boxConnections, core::toMs(setup.settings.limits.dialTimeout), idleCloseMs * kIdleShare}),
+           {boxConnections, core::toMs(setup.settings.limits.dialTimeout), idleCloseMs * kIdleShare,
+            kAnswerBytes}),
       boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters,
             core::toMs(setup.settings.contract.releaseWithin) + kReleaseExtraMs),
       signals_(io, SIGTERM, SIGINT, SIGUSR1) {
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <utility>
 
+#include "fronts/boxes/event_gate.h"
 #include "fronts/boxes/usage.h"
 
 namespace dahliastall::fronts {
@@ -19,6 +20,7 @@
 constexpr double kReleasePauseMs = 20;   // after no box could be reached
 constexpr double kPlaceAnswerMs = 1000;  // a box answers within 0.3 s, or is silent
 constexpr double kProbeAnswerMs = 1000;
+constexpr double kLastChunkMs = 1000;  // to follow the event that ends a stream
 
 }  // namespace
 
@@ -29,6 +31,8 @@
   AttemptCall(Boxes& boxes, const core::Dispatch& dispatch)
       : boxes_(boxes), key_(dispatch.attempt), request_(dispatch.request), engine_(dispatch.engine) {}
 
+  ~AttemptCall() override { boxes_.deadlines_.cancel(last_); }
+
   core::AttemptKey key() const { return key_; }
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
   net::Call& call() { return *call_; }
@@ -54,12 +58,33 @@
 
   bool body(std::string_view part) override {
     usage_.see(part);
-    return status_ != 200 || boxes_.conductor_.passed(key_, part);
+    if (status_ != 200) return true;
+    const std::optional<std::string> events = gate_.see(part);
+    if (!events) {
+      call_->garbled();
+      return true;
+    }
+    if (gate_.finished() && !last_)
+      last_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + kLastChunkMs, [this] {
+        last_.reset();
+        call_->garbled();
+      });
+    return events->empty() || boxes_.conductor_.passed(key_, *events);
   }
 
-  void done() override { end(result()); }
+  // A last chunk ahead of the event that ends a stream is none of a whole stream.
+  void done() override {
+    if (status_ == 200 && !gate_.finished()) return failed(net::CallFailure::kGarbled);
+    end(result());
+  }
 
   void failed(net::CallFailure why) override {
+    // Any box may send a spoilt answer now and then: it runs, and is not to be left out as one that is lost.
+    // The request may have run, as after any error.
+    if (why == net::CallFailure::kGarbled) {
+      ++boxes_.counters_["answers.garbled"];
+      return end({Outcome::kError});
+    }
     if (why != net::CallFailure::kWithdrawn) boxes_.unheard(engine_);
     // After a reset the other idle connections to that box are as dead as this one was.
     if (why == net::CallFailure::kReset)
@@ -81,6 +106,7 @@
   void end(const core::Result& result) {
     Boxes& boxes = boxes_;
     const core::AttemptKey key = key_;
+    boxes.deadlines_.cancel(last_);
     boxes.attempts_.erase(key.slot);
     boxes.conductor_.ended(key, result);
   }
@@ -92,6 +118,8 @@
   std::shared_ptr<net::Call> call_;
   std::optional<EngineId> place_;
   UsageReader usage_;
+  EventGate gate_;
+  std::optional<core::Deadlines::Key> last_;
   unsigned status_ = 0;
   bool written_ = false, rejected_ = false;
 };
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -7,7 +7,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -27,6 +29,7 @@
 enum class CallFailure {
   kNoConnection,  // nothing of it can have run: the request's last byte was not written
   kReset,         // broken after the request was written
+  kGarbled,       // what came after the request was written cannot be read, or stops midway
   kWithdrawn      // the sink took it back when its connection was ready
 };
 
@@ -51,6 +54,7 @@
   boost::beast::flat_buffer buffer;
   Endpoint to;
   std::optional<core::Deadlines::Key> retire;
+  double idleSinceMs = 0;
 };
 
 class Call final : public std::enable_shared_from_this<Call> {
@@ -63,15 +67,20 @@
   State state() const { return state_; }
   void abandon();  // closes the connection; the sink hears no more
   void resume();
+  void garbled() { fail(CallFailure::kGarbled); }  // the sink cannot read the body
 
  private:
   friend class Pool;
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void begin(std::shared_ptr<Link> link, bool fresh);
   void connect();
   void write();
   void read();
+  void expectAnswer();
   void parse();
+  bool skipInterim();
+  bool midway() const;
   void complete();
   void fail(CallFailure why);
   std::shared_ptr<CallSink> finish();
@@ -82,8 +91,11 @@
   std::shared_ptr<const std::string> body_;
   std::shared_ptr<CallSink> sink_;
   std::shared_ptr<Link> link_;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
-  std::optional<core::Deadlines::Key> dial_;
+  std::optional<Parser> parser_;
+  std::function<void(std::uint64_t, boost::beast::string_view, boost::beast::error_code&)> onChunk_;
+  std::optional<core::Deadlines::Key> dial_, stuck_;
+  std::uint64_t announced_ = 0, received_ = 0;  // bytes of chunks
+  int interim_ = 0;
   State state_ = State::kWaiting;
   bool paused_ = false, headSeen_ = false, reading_ = false;
 };
@@ -91,9 +103,10 @@
 class Pool {
  public:
   struct Limits {
-    std::size_t connections;  // open at a time, idle ones counted
-    double dialMs;            // to come up
-    double idleMs;            // kept unused at most
+    std::size_t connections;                 // open at a time, idle ones counted
+    double dialMs;                           // to come up
+    double idleMs;                           // kept unused at most
+    std::uint64_t answerBytes = UINT64_MAX;  // of a body; also what a chunk may claim
   };
 
   Pool(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -222,6 +222,54 @@
   }
 }
 
+// Guards the first event, which ties a request to its attempt, against noise and half events; and the boxes,
+// any of which may send a spoilt answer, against being passed over for one.
+TEST(Platform, ASpoiltStreamIsTriedAgainBeforeItsFirstEventAndBreaksOffAfterIt) {
+  for (const std::string spoilt : {"data: {\"x\":1}\nab", "noise", "data: half an event\n"}) {
+    Site site({{"m1", "both", 0}, {"m2", "both", 0}}, false);
+    int asked = 0;
+    for (auto& [id, box] : site.boxes)
+      box->script = [&, spoilt](StandInBox& self, StandInBox::Taken& taken) {
+        if (++asked > 1) return streamWhole(self, taken);
+        taken.connection->beginStream({});
+        taken.connection->pass(spoilt);
+        taken.connection->endStream();
+      };
+    net::Fields fields = platformFields("safe");
+    fields[1].second = "member-questions";
+    const auto reply = site.finished(site.post("/v1/x", fields, "{}"));
+    EXPECT_EQ(reply->text, eventOf("Hel") + eventOf("lo") + kLastEvents) << spoilt;
+    EXPECT_EQ(site.engine->counters["answers.garbled"], 1U);
+    EXPECT_EQ(site.engine->counters["attempts.error"], 1U);
+  }
+  Site site(kMixed, false);
+  for (auto& [id, box] : site.boxes)
+    box->script = [](StandInBox&, StandInBox::Taken& taken) {
+      taken.connection->beginStream({});
+      taken.connection->pass(eventOf("Hel") + "dat");
+    };
+  const auto reply = site.post("/v1/x", platformFields("late"), "{}");
+  ASSERT_TRUE(site.until([&] { return !reply->text.empty(); }));
+  EXPECT_EQ(reply->text, eventOf("Hel"));
+  site.streaming()->connection->pass("zz\r\n");
+  EXPECT_EQ(site.finished(reply)->failure, net::CallFailure::kReset);  // without the last chunk
+  EXPECT_EQ(site.chats(), 1);
+}
+
+// Guards against a last chunk that never follows the event that ends the stream.
+TEST(Platform, AStreamWithoutItsLastChunkBreaksOffByTheClock) {
+  Site site(kMixed, false);
+  for (auto& [id, box] : site.boxes)
+    box->script = [](StandInBox&, StandInBox::Taken& taken) {
+      taken.connection->beginStream({});
+      taken.connection->pass(kLastEvents);
+    };
+  const auto reply = site.post("/v1/x", platformFields("a"), "{}");
+  ASSERT_TRUE(site.until([&] { return reply->text == kLastEvents; }));
+  site.pass(1001);
+  EXPECT_EQ(site.finished(reply)->failure, net::CallFailure::kReset);
+}
+
 TEST(Platform, AReleaseIsTriedElsewhereUntilItGetsThrough) {
   Site site(kSplit, false);
   for (auto& [id, box] : site.boxes) box->script = leaveSilent;
