Break off a stream that brings nothing for 4.2 s, so that no client waits on a silent box

At fault: an attempt had no deadline any more once its first event was passed (Conductor::passed() cancels `until`), and nothing in boxes.cpp or pool.cpp watched for silence after that.

--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -21,6 +21,9 @@
 constexpr double kPlaceAnswerMs = 1000;  // a box answers within 0.3 s, or is silent
 constexpr double kProbeAnswerMs = 1000;
 constexpr double kLastChunkMs = 1000;  // to follow the event that ends a stream
+// Without anything on a stream that has begun: its client may be left waiting 5 s. Slow boxes send every few
+// seconds at worst.
+constexpr double kStallMs = 4200;
 
 }  // namespace
 
@@ -31,7 +34,10 @@
   AttemptCall(Boxes& boxes, const core::Dispatch& dispatch)
       : boxes_(boxes), key_(dispatch.attempt), request_(dispatch.request), engine_(dispatch.engine) {}
 
-  ~AttemptCall() override { boxes_.deadlines_.cancel(last_); }
+  ~AttemptCall() override {
+    boxes_.deadlines_.cancel(last_);
+    boxes_.deadlines_.cancel(stall_);
+  }
 
   core::AttemptKey key() const { return key_; }
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
@@ -69,7 +75,24 @@
         last_.reset();
         call_->garbled();
       });
-    return events->empty() || boxes_.conductor_.passed(key_, *events);
+    begun_ = begun_ || !events->empty();
+    watchForStall();
+    if (events->empty() || boxes_.conductor_.passed(key_, *events)) return true;
+    boxes_.deadlines_.cancel(stall_);  // a slow client holds the stream back, not its box
+    return false;
+  }
+
+  // Guards a client against a box that goes silent in the middle of its answer.
+  void watchForStall() {
+    boxes_.deadlines_.cancel(stall_);
+    if (!begun_ || call_->state() == net::Call::State::kOver) return;
+    stall_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + kStallMs, [this] {
+      stall_.reset();
+      ++boxes_.counters_["attempts.stalled"];
+      boxes_.unheard(engine_);
+      call_->abandon();
+      end({Outcome::kTimeout});
+    });
   }
 
   // A last chunk ahead of the event that ends a stream is none of a whole stream.
@@ -107,6 +130,7 @@
     Boxes& boxes = boxes_;
     const core::AttemptKey key = key_;
     boxes.deadlines_.cancel(last_);
+    boxes.deadlines_.cancel(stall_);
     boxes.attempts_.erase(key.slot);
     boxes.conductor_.ended(key, result);
   }
@@ -119,9 +143,9 @@
   std::optional<EngineId> place_;
   UsageReader usage_;
   EventGate gate_;
-  std::optional<core::Deadlines::Key> last_;
+  std::optional<core::Deadlines::Key> last_, stall_;
   unsigned status_ = 0;
-  bool written_ = false, rejected_ = false;
+  bool begun_ = false, written_ = false, rejected_ = false;
 };
 
 // ---- Places, releases and probes -------------------------------------------------------------------
@@ -280,7 +304,10 @@
 }
 
 void Boxes::resume(core::AttemptKey key) {
-  if (const auto sink = attempt(key)) sink->call().resume();
+  const auto sink = attempt(key);
+  if (!sink) return;
+  sink->watchForStall();
+  sink->call().resume();
 }
 
 void Boxes::holdPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -256,6 +256,24 @@
   EXPECT_EQ(site.chats(), 1);
 }
 
+// Guards a client against waiting on a stream whose box has gone silent; a slow one is left alone.
+TEST(Platform, AStreamThatStopsBreaksOffWithinFiveSeconds) {
+  Site site(kMixed, false);
+  for (auto& [id, box] : site.boxes) box->script = beginOnly;
+  const auto reply = site.post("/v1/x", platformFields("a"), "{}");
+  ASSERT_TRUE(site.until([&] { return reply->text == eventOf("first"); }));
+  site.pass(3'500);
+  EXPECT_FALSE(reply->over);
+  site.streaming()->connection->pass(eventOf("more"));
+  ASSERT_TRUE(site.until([&] { return reply->text == eventOf("first") + eventOf("more"); }));
+  site.pass(3'500);
+  EXPECT_EQ(site.engine->counters["attempts.stalled"], 0U);
+  site.pass(1'000);
+  EXPECT_EQ(site.finished(reply)->failure, net::CallFailure::kReset);
+  EXPECT_EQ(site.engine->counters["attempts.stalled"], 1U);
+  EXPECT_EQ(site.chats(), 1);
+}
+
 // Guards against a last chunk that never follows the event that ends the stream.
 TEST(Platform, AStreamWithoutItsLastChunkBreaksOffByTheClock) {
   Site site(kMixed, false);
