--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -278,7 +278,7 @@
   serveWaiting();
 }
 
-void Pool::close(const std::shared_ptr<Link>& link) {
+void Pool::close(std::shared_ptr<Link> link) {
   if (link->to == Endpoint()) return;  // closed before
   idle_.remove(link);
   deadlines_.cancel(link->retire);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -127,7 +127,7 @@
   bool admit(const std::shared_ptr<Call>& call);
   std::shared_ptr<Link> takeIdle(const Endpoint& to);
   void give(std::shared_ptr<Link> link);
-  void close(const std::shared_ptr<Link>& link);
+  void close(std::shared_ptr<Link> link);  // by value: the caller's may stand in the list it leaves
   void forgetIdle(const std::shared_ptr<Link>& link);
   void serveWaiting();
 
