Hand streams over before a planned restart ends: the module learns that its node stops

At fault: Engine::onSignal() closed the door 0.5 s after SIGTERM and waited for streams that last up to 19 s, with SIGKILL after 3.7 s. A node stopped 3 s after its peer had its door closed while the peer was down, so for about 1 s no conductor could be reached by whoever asked for the rest.

Now the core tells the module that the node stops, and by when it may be killed. Where clients ask for the rest, the door stays open for half of that time; then the streams move, spread over the next third, those with most to go and youngest first. What has no stream by nine tenths gets its answer at once. A move is no fault of its box. At a small site, where nobody asks for the rest, nothing is cut (test).

--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -239,8 +239,12 @@
   RequestId request;
 };  // nobody waits for it any more
 
+struct Stopping {
+  Duration grace;
+};  // this node ends, and is killed no sooner than this from now
+
 using Event = std::variant<ListNews, Arrival, StreamOpened, AttemptEnded, PlaceNote, ProbeEnded, PeerMessage,
-                           AlarmRang, Lapsed>;
+                           AlarmRang, Lapsed, Stopping>;
 
 // ---- Actions -------------------------------------------------------------------------------------
 
--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -16,6 +16,13 @@
 constexpr double kIdleShare = 0.6;
 // For a release: its limit on sockets is the settings' and 300 ms more; this much of that is not used.
 constexpr double kReleaseExtraMs = 200;
+// Connections arrive for 0.2 to 0.4 s after SIGTERM, so the door stays open a little longer.
+constexpr double kDoorOpenMs = 500;
+// A planned restart on the platform: SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3
+// s where it is longer, and 0.7 s. Where clients ask for the rest of a stream, the door stays open for this
+// share of it: a peer that was stopped just before may be down, and streams that are open then move to the
+// others.
+constexpr double kLongestDeadlineMs = 3'000, kBeyondDeadlineMs = 700, kDoorShare = 0.5;
 constexpr std::uint64_t kAnswerBytes = 16 << 20;  // of a box's answer, far above the longest stream
 
 void letReloadsThrough() {
@@ -61,8 +68,9 @@
   boxes.reconfigure(std::move(dialect), core::toMs(settings.contract.releaseWithin) + kReleaseExtraMs);
 }
 
-void Engine::run(net::Listener& listener, std::function<void()> reload) {
+void Engine::run(net::Listener& listener, const Ending& ending, std::function<void()> reload) {
   listener_ = &listener;
+  ending_ = ending;
   reload_ = std::move(reload);
   onSignal();
   letReloadsThrough();
@@ -78,13 +86,18 @@
     } else if (signal == SIGHUP) {
       this->reload();
     } else {
-      spdlog::info("stopping: serving what still arrives, then what was taken");
-      listener_->drain([this] { finish(); });
+      stop();
     }
     onSignal();
   });
 }
 
+void Engine::stop() {
+  spdlog::info("stopping: serving what still arrives, then what was taken");
+  if (ending_.graceMs) conductor.stopping(*ending_.graceMs);
+  listener_->drain(ending_.doorOpenMs, [this] { finish(); });
+}
+
 // Also while the program drains: what it has taken still needs the list. A file that cannot be read or used
 // leaves everything as it was.
 void Engine::reload() {
@@ -121,6 +134,14 @@
 
 }  // namespace
 
+Engine::Ending platformEnding(const leverrelay::Settings& settings) {
+  if (!settings.resume) return {kDoorOpenMs, std::nullopt};
+  double longest = 0;
+  for (const auto& cls : settings.classes) longest = std::max(longest, core::toMs(cls.deadline));
+  const double grace = std::min(longest, kLongestDeadlineMs) + kBeyondDeadlineMs;
+  return {std::max(kDoorOpenMs, grace * kDoorShare), grace};
+}
+
 void serve(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread) {
   boost::asio::io_context io;
   const core::SystemClock clock;
@@ -136,7 +157,7 @@
                          engine.deadlines, engine.counters);
   sayListening(config.name, listener);
   // $GW_DISCOVERY holds what counted at the start: only a change within the file says that it has moved.
-  engine.run(listener, [&, inFile = config.discoveryInFile]() mutable {
+  engine.run(listener, platformEnding(config.setup.settings), [&, inFile = config.discoveryInFile]() mutable {
     const Config fresh = reread();
     if (!fresh.discoveryInFile || fresh.discoveryInFile == inFile) return;
     inFile = fresh.discoveryInFile;
@@ -182,7 +203,7 @@
   net::Listener listener(engine.io, site.listen, limits.clients(), front, engine.clock, engine.deadlines,
                          engine.counters);
   sayListening("chat API", listener);
-  engine.run(listener, [&] {
+  engine.run(listener, {kDoorOpenMs, std::nullopt}, [&] {
     takeOver(reread(), site, engine);
     spdlog::info("SIGHUP: {} boxes, {} models, {} keys", site.boxes.entries.size(), site.models.size(),
                  site.keys.size());
--- a/src/app/conductor_app.h
+++ b/src/app/conductor_app.h
@@ -23,9 +23,14 @@
   Engine(boost::asio::io_context& context, const core::Clock& time, const leverrelay::wire::Setup& setup,
          std::uint64_t seed, std::size_t boxConnections, double idleCloseMs, fronts::BoxDialect dialect);
 
+  struct Ending {
+    double doorOpenMs;              // new requests are served so long after the signal
+    std::optional<double> graceMs;  // the process is killed no sooner than this after it; none: never
+  };
+
   // Runs until SIGTERM or SIGINT has been followed by the end of all that was taken. Counters go to the log
   // on SIGUSR1 and at the end. SIGHUP calls reload, whose exceptions are logged and change nothing else.
-  void run(net::Listener& listener, std::function<void()> reload);
+  void run(net::Listener& listener, const Ending& ending, std::function<void()> reload);
 
   // What a reload brings, as far as it can change under way.
   void reconfigure(const leverrelay::Settings& settings, fronts::BoxDialect dialect);
@@ -42,11 +47,13 @@
 
  private:
   void onSignal();
+  void stop();
   void reload();
   void finish();
 
   boost::asio::signal_set signals_;
   net::Listener* listener_ = nullptr;
+  Ending ending_{};
   std::function<void()> reload_;
 };
 
@@ -62,6 +69,9 @@
 template <class What>
 using Reread = std::function<What()>;
 
+// How a planned restart goes on the platform, by the settings.
+Engine::Ending platformEnding(const leverrelay::Settings& settings);
+
 // On the platform: its protocol, its discovery. SIGHUP takes over the file's `discovery`.
 void serve(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread);
 
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -51,6 +51,9 @@
   void placeAnswered(AttemptKey reading, const leverrelay::EngineId& engine, bool held);
   void probed(const leverrelay::EngineId& engine, double tookMs, bool answered);
 
+  // From the operators: this process ends, and is killed no sooner than so long from now.
+  void stopping(double graceMs) { post(leverrelay::Stopping{toModule(graceMs)}); }
+
   std::size_t enginesKnown() const { return fleet_.size(); }
   std::size_t open() const { return unanswered_; }  // requests that are owed an answer or its rest
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A planned restart: connections arrive for 0.2 to 0.4 s after the signal, so the door stays open a little
-// longer.
-constexpr double kDoorOpenMs = 500;
 constexpr double kAcceptPauseMs = 20;  // after accept failed, as when descriptors ran out
 
 }  // namespace
@@ -74,11 +71,11 @@
   boost::asio::post(io_, [this] { accept(); });
 }
 
-void Listener::drain(std::function<void()> done) {
+void Listener::drain(double doorOpenMs, std::function<void()> done) {
   if (draining_) return;
   done_ = std::move(done);
   draining_ = true;
-  deadlines_.add(clock_.nowMs() + kDoorOpenMs, [this] { closeDoor(); });
+  deadlines_.add(clock_.nowMs() + doorOpenMs, [this] { closeDoor(); });
 }
 
 void Listener::closeDoor() {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -23,11 +23,11 @@
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // Goes on accepting while connections still arrive, then closes; done is called when all clients are gone.
-  void drain(std::function<void()> done);
+  // Goes on accepting and serving for so long, then closes; done is called when all clients are gone.
+  void drain(double doorOpenMs, std::function<void()> done);
 
   void closed(const std::shared_ptr<ClientConnection>& connection) override;
-  bool draining() const override { return draining_; }
+  bool draining() const override { return doorClosed_; }
   std::size_t size() const { return connections_.size(); }
 
  private:
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,6 +54,9 @@
 constexpr char kNewsVersion = 1;           // of messages between peers
 constexpr std::size_t kNewsHead = 3;       // bytes before the engine: version, class, tenant
 constexpr seconds kAskPause{1};            // between tries to reach the list
+constexpr double kHandOverFrom = 0.5;  // share of the grace of a node that ends: its streams move from here,
+constexpr double kHandOverTo = 0.85;   // when a peer that ended before it is back, until here
+constexpr double kLastCall = 0.9;      // what has no stream by then gets its answer
 
 std::size_t at(Role role) { return static_cast<std::size_t>(role); }
 
@@ -193,6 +196,7 @@
     if (!started_) start();
     std::visit([this](const auto& what) { on(what); }, event);
     pump();
+    if (stopsAt_) handOver();
     keepPulse();
   }
 
@@ -828,7 +832,7 @@
     if (outcome == Outcome::kError) noteBad(e, "errors", false);
     if (outcome == Outcome::kTimeout) noteBad(e, "no answers", false);
     if (outcome == Outcome::kNoConnection) noteBad(e, "no connection", true);
-    if (outcome == Outcome::kConnectionLost) noteBad(e, "lost connections", true);
+    if (outcome == Outcome::kConnectionLost && !a.calledOff) noteBad(e, "lost connections", true);
     if (outcome == Outcome::kFull && !ended.stateGone) noteRefusal(r, e);
     a.harmless = outcome == Outcome::kFull || outcome == Outcome::kNoConnection ||
                  outcome == Outcome::kNotSent || outcome == Outcome::kRead;
@@ -880,6 +884,11 @@
 
   void on(const AlarmRang&) { pulseSet_ = false; }
 
+  void on(const Stopping& stopping) {
+    if (!stopsAt_) stopsAt_ = now_;
+    grace_ = stopping.grace;
+  }
+
   void on(const Lapsed& lapsed) {
     Request* r = held(lapsed.request);
     if (r == nullptr || r->phase == Phase::kOver) return;
@@ -914,6 +923,36 @@
     }
   }
 
+  // Guards the clients of a node that ends. Killed with it, their streams would all come again at once, maybe
+  // while a peer is down as well. Spread over the end of the grace: no wave of reads meets the peers' own.
+  // What has longest to go by its limit moves first, of these the youngest; the others may yet end here.
+  void handOver() {
+    const double passed = ratio(now_ - *stopsAt_, grace_);
+    std::vector<std::tuple<double, Time, RequestId>> streams;
+    std::vector<RequestId> owed;
+    for (const auto& [id, r] : requests_) {
+      if (r.phase < Phase::kStreaming) owed.push_back(id);
+      if (r.phase == Phase::kStreaming && !r.attempts.back().calledOff)
+        streams.emplace_back(r.told.maxTokens, *r.openedAt, id);
+    }
+    if (passed >= kLastCall) {
+      for (const RequestId& id : owed) {
+        finish(requests_.at(id));
+        forgetIfDone(id);
+      }
+    }
+    if (!set_.resume || passed < kHandOverFrom) return;
+    mostStreams_ = std::max(mostStreams_, streams.size());
+    const double left = std::max(0.0, (kHandOverTo - passed) / (kHandOverTo - kHandOverFrom));
+    const auto stay = static_cast<std::size_t>(left * static_cast<double>(mostStreams_));
+    std::sort(streams.rbegin(), streams.rend());
+    for (std::size_t i = 0; i + stay < streams.size(); ++i) {
+      Request& r = requests_.at(std::get<RequestId>(streams[i]));
+      r.attempts.back().calledOff = true;
+      emit(MoveStream{r.told.request});
+    }
+  }
+
   void advance(Request& r) {
     if (hopeless(r)) return finish(r);
     if (r.phase == Phase::kRead) {
@@ -933,7 +972,8 @@
       emit(Subscribe{});
       askAgainAt_.reset();
     }
-    const bool open = std::any_of(requests_.begin(), requests_.end(),
+    const bool open = (stopsAt_ && !requests_.empty()) ||
+                      std::any_of(requests_.begin(), requests_.end(),
                                   [](const auto& entry) { return entry.second.phase < Phase::kStreaming; });
     if (pulseSet_ || (!open && !askAgainAt_)) return;
     pulseSet_ = true;
@@ -956,7 +996,9 @@
   std::array<double, 3> weight_{}, mostWeight_{};  // listed, and the most ever listed, by role
   std::map<RequestId, Request> requests_;
   double retries_ = kRetryBurst;
-  std::optional<Time> askAgainAt_;
+  std::optional<Time> askAgainAt_, stopsAt_;
+  Duration grace_{};
+  std::size_t mostStreams_ = 0;  // seen since they began to move
   std::uint64_t alarms_ = 0;
   bool pulseSet_ = false, started_ = false;
   Time now_{}, lastRead_{};
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -513,6 +513,58 @@
 }
 
 // Guards against each node learning anew, with a request, that an engine turns a class away.
+// ---- The end of a node
+
+// So many streams, opened one after the other.
+Fleet streaming(int count, bool resume) {
+  Settings settings = plainSettings();
+  settings.resume = resume;
+  Fleet fleet(settings);
+  fleet.list(twoCells());
+  for (int i = 0; i < count; ++i) {
+    const std::string id = numbered("s", i);
+    const std::string reader = fleet.arrive(id).sentTo();
+    const std::string writer = fleet.end(id, reader, Outcome::kRead).sentTo();
+    fleet.open(id, writer).wait(10ms);
+  }
+  return fleet;
+}
+
+TEST(Stopping, StreamsAreHandedOverSpreadOverTheEndOfTheGraceTheYoungestFirst) {
+  Fleet fleet = streaming(10, true);
+  EXPECT_FALSE(fleet.give(Stopping{3700ms}).any<MoveStream>());
+  EXPECT_FALSE(fleet.wait(1800ms).any<MoveStream>());
+  std::vector<MoveStream> moved = fleet.wait(700ms).all<MoveStream>();
+  ASSERT_GE(moved.size(), 4U);
+  ASSERT_LE(moved.size(), 7U);
+  EXPECT_EQ(moved.front().request.value, "s9");
+  const std::size_t first = moved.size();
+  moved = fleet.wait(700ms).all<MoveStream>();
+  EXPECT_EQ(first + moved.size(), 10U);  // none twice, none left
+}
+
+TEST(Stopping, AMovedStreamIsNoFaultOfItsEngine) {
+  Fleet fleet = streaming(1, true);
+  fleet.give(Stopping{1s}).wait(990ms);
+  ASSERT_TRUE(fleet.any<MoveStream>());
+  fleet.end("s0", "w0", Outcome::kConnectionLost, 1s, true);
+  for (const Log& log : fleet.all<Log>()) EXPECT_EQ(log.text.find("passing over"), std::string::npos);
+}
+
+TEST(Stopping, NothingIsCutWhereClientsDoNotAskForTheRest) {
+  Fleet fleet = streaming(3, false);
+  EXPECT_FALSE(fleet.give(Stopping{1s}).any<MoveStream>());
+  EXPECT_FALSE(fleet.wait(2s).any<MoveStream>());
+}
+
+TEST(Stopping, WhatHasNoStreamAtTheLastCallGetsItsAnswer) {
+  Fleet fleet;
+  fleet.list(twoCells()).arrive("a");
+  fleet.give(Stopping{1s});
+  EXPECT_FALSE(fleet.wait(880ms).any<Refuse>());
+  EXPECT_EQ(fleet.wait(30ms).all<Refuse>().size(), 1U);
+}
+
 TEST(Peers, ARefusalIsToldAndTheEngineBecomesTheLastChoiceThere) {
   Fleet one(withPeers(), 1), other(withPeers(), 2);
   const std::string home = one.list(twoCells()).arrive("a", "p").sentTo();
