--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -206,7 +206,7 @@
   Duration took;
   bool concluded;     // the client has its answer; nothing more is owed
   double keptTokens;  // on kRead and kServed: prompt tokens that needed no reading
-  bool stateGone;     // on kFull: there was no state to fetch
+  bool stateGone;     // no state waits any more: there was none to fetch (kFull), or it was fetched
   std::optional<LoadReport> report;
 };
 
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -103,10 +103,11 @@
 
   void failed(net::CallFailure why) override {
     // Any box may send a spoilt answer now and then: it runs, and is not to be left out as one that is lost.
-    // The request may have run, as after any error.
+    // The request may have run, as after any error. A head comes with the first token: a writer that sent
+    // one, however spoilt, had fetched the state, and the next would have to read the whole prompt itself.
     if (why == net::CallFailure::kGarbled) {
       ++boxes_.counters_["answers.garbled"];
-      return end({Outcome::kError});
+      return end({Outcome::kError, 0, true});
     }
     if (why != net::CallFailure::kWithdrawn) boxes_.unheard(engine_);
     // After a reset the other idle connections to that box are as dead as this one was.
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -256,6 +256,27 @@
   EXPECT_EQ(site.chats(), 1);
 }
 
+// Guards the streams of the next writer against a whole prompt that it would have to read between their steps:
+// the state went to the writer whose opening was spoilt, and the reader keeps the prompt's text.
+TEST(Platform, ASpoiltOpeningIsReadAgainBeforeTheNextWriterGetsIt) {
+  Site site(kSplit, false);
+  std::vector<std::string> order;
+  for (auto& [id, box] : site.boxes)
+    box->script = [&, id = id](StandInBox& self, StandInBox::Taken& taken) {
+      order.push_back(id.substr(0, 1));
+      if (order.back() == "r") return answerRead(self, taken);
+      if (order.size() > 2) return streamWhole(self, taken);
+      taken.connection->beginStream({});
+      taken.connection->pass("noise");
+      taken.connection->endStream();
+    };
+  net::Fields fields = platformFields("safe");
+  fields[1].second = "member-questions";
+  const auto reply = site.finished(site.post("/v1/x", fields, "{}"));
+  EXPECT_EQ(reply->text, eventOf("Hel") + eventOf("lo") + kLastEvents);
+  EXPECT_EQ(order, (std::vector<std::string>{"r", "w", "r", "w"}));
+}
+
 // Guards a client against waiting on a stream whose box has gone silent; a slow one is left alone.
 TEST(Platform, AStreamThatStopsBreaksOffWithinFiveSeconds) {
   Site site(kMixed, false);
