--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -256,8 +256,8 @@
   EXPECT_EQ(site.chats(), 1);
 }
 
-// Guards the streams of the next writer against a whole prompt that it would have to read between their steps:
-// the state went to the writer whose opening was spoilt, and the reader keeps the prompt's text.
+// Guards the streams of the next writer against a whole prompt that it would have to read between their
+// steps: the state went to the writer whose opening was spoilt, and the reader keeps the prompt's text.
 TEST(Platform, ASpoiltOpeningIsReadAgainBeforeTheNextWriterGetsIt) {
   Site site(kSplit, false);
   std::vector<std::string> order;
