--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,6 +1,4 @@
 // Every decision of the router. The interface is include/leverrelay/router.h; nothing else decides.
-// Sections: 1 knobs, 2 fleet view, 3 reader choice, 4 writer choice and places, 5 admission,
-// 6 deadlines and further attempts, 7 release, 8 event handlers.
 // A request moves waiting -> reading -> read -> writing -> streaming -> over. Every send passes
 // sendTo(), every ending passes finish(): each of the five rules is enforced in one of the two.
 #include <algorithm>
@@ -37,6 +35,8 @@
 constexpr double kMostRead = 1.25;     // and at most, however many writers their cell has
 constexpr double kFullMemory = 0.95;   // share of a writer's memory that counts as full
 constexpr double kOutputShare = 0.25;  // of the most an answer may have, expected in memory
+constexpr double kRoomToRead = 0.45;   // and share below which a writer may read prompts as well,
+constexpr double kWriterReads = 2;     // which takes it so many times as long as a reader
 constexpr double kFullAims = 0.15;     // of the shortest aim that a refusal is believed
 constexpr int kPlaceTries = 3;         // places asked for one request; a note takes little of a read
 constexpr double kRefusedAims = 2.5;   // of its class's aim that an engine's refusal is believed
@@ -74,8 +74,7 @@
 
 double fading(Time now, Time last, Duration half) { return std::exp2(-ratio(now - last, half)); }
 
-// A fading mean; the first samples count fully. at() loses its say when nothing refreshes it: a refusal by it
-// must not keep itself true for ever.
+// A fading mean. at() loses its say when nothing refreshes it: a refusal by it must not keep itself true.
 class Average {
  public:
   void add(double sample, Time now = {}) {
@@ -217,17 +216,15 @@
   // A silent engine is passed over while it stays silent: a hang, a one-way link or a jam look alike.
   bool silent(const Engine& e) const {
     if (e.out == 0) return false;
-    const double work = static_cast<double>(timeFor(e.readTokens).count());
-    const double usual = answer_[at(e.role)].mean();
-    const double expected = std::max(usual, work) * kSilentFor;
+    const auto work = static_cast<double>(timeFor(e.readTokens).count());
+    const double expected = std::max(answer_[at(e.role)].mean(), work) * kSilentFor;
     const Duration limit = std::max(Duration(std::llround(expected)), scaled(shortestAim(), kSilentAims));
     return now_ - e.quietSince > limit;
   }
 
   bool fit(const Engine& e) const {
-    if (!listed(e) || silent(e)) return false;
-    if (!e.ejected) return true;
-    return now_ >= e.trialAt && e.out == 0;  // a single trial at a time
+    const bool trial = now_ >= e.trialAt && e.out == 0;  // a single one at a time
+    return listed(e) && !silent(e) && (!e.ejected || trial);
   }
 
   double warmShare(const Engine& e) const {
@@ -236,10 +233,9 @@
     return age >= 1 ? 1 : std::max(set_.contract.coldFrom, age);
   }
 
-  // Guards rule four. This node's part of the contract's budget: by what an engine of its weight usually gets
-  // from it, so that the part of other nodes, dead ones too, is left to them, and by the whole role, as all
-  // peers may be cold. A draw at the start (see take) spreads the first sends of many nodes, whose parts are
-  // under one.
+  // Guards rule four. This node's part of the contract's budget, by what an engine of its weight usually gets
+  // from it: the other nodes' part is left to them. By the whole role, as all peers may be cold. A draw at
+  // the start (see take) spreads the first sends of many nodes, whose parts are under one.
   bool coldAllows(Engine& e) {
     if (warmShare(e) >= 1) return true;
     const double window = ratio(set_.contract.fallFor, seconds(1));
@@ -273,8 +269,7 @@
     e.fails = Average();
   }
 
-  // An engine that fails or swallows some of what it gets may do one trial well: it takes several, one at a
-  // time, and what was sent before it failed is none.
+  // What fails or swallows some may do one trial well: it takes several, and what was sent before is none.
   void noteGood(Engine& e, Time sentAt) {
     e.fails.add(0);
     if (!e.ejected || (e.trialsLeft > 1 && sentAt < e.ejectedAt)) return;
@@ -284,8 +279,8 @@
     say("using " + e.info.engine.value + " again");
   }
 
-  // By the best of its role in use: where all fail alike, leaving one out gains nothing. Not by their mean:
-  // a few that fail fast take most of the sends, and would be the measure of themselves.
+  // By the best in use: where all fail alike, leaving one out gains nothing. Those that fail fast rule a
+  // mean.
   double failsAllowed(const Engine& e) const {
     double best = 1;
     for (const auto& [id, x] : engines_)
@@ -333,8 +328,7 @@
     return r.told.session.empty() ? r.told.request.value : r.told.session;
   }
 
-  // A cell reads what its writers can write, within bounds of its readers; what does not come out even
-  // crosses the link by plan. Racks differ: some hold readers only.
+  // A cell reads what its writers can write, within bounds of its readers; the rest crosses the link by plan.
   void plan() {
     for (auto& [index, c] : cells_) c.readers = c.writers = 0;
     weight_ = {};
@@ -377,8 +371,7 @@
     for (std::size_t i = 0; i < first; ++i)
       scored.emplace(-std::log(drawOf(key, engines[i]->info.engine.value)) / hashWeight(*engines[i]),
                      engines[i]);
-    first = 0;
-    for (const auto& [score, e] : scored) engines[first++] = e;
+    std::transform(scored.begin(), scored.end(), engines.begin(), [](const auto& x) { return x.second; });
   }
 
   // The key's order. A popular key, by this node's sample, has as many homes as carry it together; a session
@@ -402,8 +395,7 @@
   }
 
   // The first in the key's order whose reads wait within the bound, or an earlier one that would be done
-  // sooner, as it keeps the text: a jam must not feed itself by moving keys. What refused the class comes
-  // last.
+  // sooner, as it keeps the text: a jam must not feed itself by moving keys. Who refused the class is last.
   Engine* chooseReader(Request& r) {
     const Duration bound = scaled(timeFor(r.told.promptTokens), kReadBound);
     const std::vector<Engine*> order = readersInOrder(r);
@@ -426,8 +418,7 @@
 
   double tokensOf(const Request& r) const { return r.told.promptTokens + kOutputShare * r.told.maxTokens; }
 
-  // Share of all answers that is at a place with this share of the weight: what own answers show, as far as
-  // they are many. One own stream among two hundred nodes says nothing of an engine.
+  // Share of all answers that is at a place of this weight: what own answers show, as far as they are many.
   double shareOf(double own, double weight) const {
     const double even = weight / std::max(weight_[at(Role::kWriter)] + weight_[at(Role::kMixed)], kTiny);
     return held_ > 0 ? (streams_ * own / held_ + kPriorStreams * even) / (streams_ + kPriorStreams) : even;
@@ -453,8 +444,7 @@
     return it != e.refuses.end() && now_ < it->second;
   }
 
-  // An engine that turns away one class or tenant may have room for the others. Peers are told: one node
-  // alone would learn it anew with each request.
+  // An engine that turns one class or tenant away may have room for others. Peers need not learn it anew.
   void noteRefusal(const Request& r, Engine& e) {
     const Caller who = callerOf(r);
     const Duration memory = scaled(classOf(r).aim, kRefusedAims);
@@ -481,10 +471,9 @@
       return std::make_tuple(full(e), refuses(r, e), load(e), hashOf(salt_, e.info.engine.value));
     };
     for (auto& [id, e] : engines_) {
-      if (e.role == Role::kReader || (cell && e.role == Role::kMixed) || !fit(e) || r.avoid.count(id) != 0 ||
-          !coldAllows(e))
+      if (e.role == Role::kReader || (cell && (e.role == Role::kMixed || e.info.cell != *cell)) || !fit(e) ||
+          r.avoid.count(id) != 0 || !coldAllows(e))
         continue;
-      if (cell && e.info.cell != *cell) continue;
       if (best == nullptr || worth(e) < worth(*best)) best = &e;
     }
     return best;
@@ -494,8 +483,7 @@
     return (static_cast<double>(hashOf(a, b) >> 11) + 0.5) / 9007199254740992.0;
   }
 
-  // Where the answer is to be written: the reader's cell, or one with room if that cell's readers do more
-  // than its writers can write.
+  // The reader's cell, or one with room if that cell's readers do more than its writers can write.
   CellIndex writingCell(const Request& r) const {
     const CellIndex own = r.reader->info.cell;
     const auto home = cells_.find(own);
@@ -595,10 +583,29 @@
     return scaled(readTime(r, reader), fading(now_, lastRead_, fade())) + rest > left;
   }
 
+  // Readers may be too few for a burst, or fail, while writers rest, which read too: slower, and between the
+  // steps of their streams. So one that is warm, holds little and has least to read.
+  void readAtWriter(Request& r, bool mayWait) {
+    Engine* best = nullptr;
+    for (auto& [id, e] : engines_) {
+      const double most = set_.kinds[e.info.kind.value].memoryTokens * kRoomToRead;
+      if (e.role != Role::kWriter || !fit(e) || e.ejected || warmShare(e) < 1 || now_ < e.fullUntil ||
+          expectedTokens(e) > most || refuses(r, e) || r.avoid.count(id) != 0)
+        continue;
+      if (best == nullptr || std::pair(e.readTokens, load(e)) < std::pair(best->readTokens, load(*best)))
+        best = &e;
+    }
+    const double tokens = r.told.promptTokens + (best == nullptr ? 0 : best->readTokens);
+    const bool late = now_ + scaled(timeFor(tokens), kWriterReads) > r.aim;
+    if (best == nullptr || late || !set_.writersRead) return mayWait ? void() : finish(r);
+    letGo(r);
+    book(r, *best);
+    if (sendTo(r, *best, Phase::kWriting)) countSend(*best);
+  }
+
   void startRead(Request& r) {
     Engine* reader = chooseReader(r);
-    if (reader == nullptr) return;
-    if (worthless(r, *reader)) return finish(r);
+    if (reader == nullptr || worthless(r, *reader)) return readAtWriter(r, reader == nullptr);
     letGo(r);
     r.reader = reader;
     if (reader->role == Role::kMixed) book(r, *reader);
@@ -608,10 +615,9 @@
   }
 
   bool tooBig(const Request& r) const {
-    double most = 0;
-    for (const KindSettings& kind : set_.kinds)
-      if (kind.role != Role::kReader) most = std::max(most, kind.memoryTokens);
-    return r.told.promptTokens > most;
+    return std::none_of(set_.kinds.begin(), set_.kinds.end(), [&](const KindSettings& kind) {
+      return kind.role != Role::kReader && r.told.promptTokens <= kind.memoryTokens;
+    });
   }
 
   // What cannot be answered any more is told so while a retry elsewhere may still help.
@@ -630,8 +636,8 @@
     return now_ + scaled(r.deadline - now_, kSpareShare);
   }
 
-  // An engine may swallow some of its work and answer the rest, and so is never silent. In a jam all wait
-  // alike, but what is swallowed is overtaken: by others sent later, well ahead for their size.
+  // What an engine swallows while it answers the rest, and so is not silent, is overtaken: by others sent
+  // later, well ahead for their size. In a jam all wait alike.
   void overtake(const Attempt& by, Duration took) {
     for (auto& [id, r] : requests_) {
       if (r.phase != Phase::kReading && r.phase != Phase::kWriting) continue;
@@ -650,12 +656,11 @@
     });
   }
 
-  // Calls off what waits at a silent engine, or was swallowed, while another could take it. A read has no
-  // effect, whatever the class.
+  // Calls off what waits at a silent engine, or was swallowed, while another could take it.
   void rescue(Request& r) {
     Attempt& a = r.attempts.back();
     if (!set_.limits.cancel || retries_ < 1 || !a.out || a.calledOff) return;
-    if (a.writes && classOf(r).effect == Effect::kUnsafe) return;
+    if (a.writes && classOf(r).effect == Effect::kUnsafe) return;  // a read has no effect
     const bool longOut = now_ - a.sentAt >= scaled(r.aim - r.arrivedAt, kSilentAims);
     const bool swallowed = a.overtaken >= kOvertaken && (longOut || !a.writes);
     if (!swallowed && !(longOut && silent(*a.engine))) return;
@@ -703,7 +708,8 @@
     if (static_cast<int>(r.attempts.size()) >= set_.limits.maxAttempts) return false;
     if (e.toldOff && !(&e == r.place && placeUsable(r))) return false;
     if (attemptOut(r) || !effectAllows(r, e)) return false;
-    const double tokens = next == Phase::kReading ? unread(r, e) : 0;
+    const bool reads = next == Phase::kReading || (e.role == Role::kWriter && r.reader == nullptr);
+    const double tokens = reads ? unread(r, e) : 0;
     e.readTokens += tokens;
     r.attempts.push_back({&e, now_, e.role != Role::kReader, tokens, r.home == &e});
     r.phase = next;
@@ -762,9 +768,8 @@
   }
 
   void forgetIfDone(const RequestId& id) {
-    const auto it = requests_.find(id);
-    if (it != requests_.end() && it->second.phase == Phase::kOver && !attemptOut(it->second))
-      requests_.erase(it);
+    const Request* r = held(id);
+    if (r != nullptr && r->phase == Phase::kOver && !attemptOut(*r)) requests_.erase(id);
   }
 
   // ---- 8 Event handlers ----------------------------------------------------------------------------
@@ -780,8 +785,7 @@
   }
 
   void on(const ListNews& news) {
-    if (news.form == ListForm::kFailed) askAgainAt_ = now_ + kAskPause;
-    if (news.form == ListForm::kFailed) return;
+    if (news.form == ListForm::kFailed) return void(askAgainAt_ = now_ + kAskPause);
     if (news.form != ListForm::kChanges) {
       std::set<EngineId> named;
       for (const ListEntry& entry : news.entries) named.insert(entry.engine);
@@ -820,8 +824,8 @@
     r.told = told;
     r.arrivedAt = now_;
     r.deadline = now_ + told.timeLeft;
-    // Whoever asks for the rest of a stream had its first token: what counts is the mean pace, which has
-    // slack. Refused as late, it would lose all that was written.
+    // Whoever asks for the rest had its first token: the mean pace counts, and a refusal loses what is
+    // written.
     r.aim = now_ + classOf(r).aim + scaled(classOf(r).aimPer1000, told.promptTokens / 1000);
     if (told.resumed) r.aim = r.deadline;
     retries_ = std::min(kRetryBurst, retries_ + kRetryShare);
@@ -832,23 +836,22 @@
 
   void on(const StreamOpened& opened) {
     Request* r = held(opened.request);
-    Attempt* found = attemptOf(r, opened.attempt);
-    if (found == nullptr) return;
-    Attempt& a = *found;
-    signOfLife(a, opened.took, a.out);
-    noteGood(*a.engine, a.sentAt);
-    overtake(a, opened.took);
+    Attempt* a = attemptOf(r, opened.attempt);
+    if (a == nullptr) return;
+    signOfLife(*a, opened.took, a->out && a->tokens <= 0);
+    noteGood(*a->engine, a->sentAt);
+    overtake(*a, opened.took);
+    a->engine->readTokens -= std::exchange(a->tokens, 0);
     if (r->phase == Phase::kOver) return;
     r->phase = Phase::kStreaming;
     r->openedAt = now_;
     r->pinned = false;
-    book(*r, *a.engine);
+    book(*r, *a->engine);
   }
 
   void on(const PlaceNote& note) {
     Request* r = held(note.request);
-    if (r == nullptr || r->place == nullptr || r->place->info.engine != note.engine) return;
-    if (note.held) return;
+    if (r == nullptr || r->place == nullptr || r->place->info.engine != note.engine || note.held) return;
     noteFull(*r->place);
     r->place = nullptr;
     if (r->phase != Phase::kReading) return;
@@ -858,15 +861,14 @@
 
   void on(const AttemptEnded& ended) {
     Request* r = held(ended.request);
-    Attempt* found = attemptOf(r, ended.attempt);
-    if (found == nullptr || !found->out) return;
-    Attempt& a = *found;
-    Engine& e = *a.engine;
-    if (!r->openedAt) signOfLife(a, ended.took, ended.outcome == Outcome::kRead);
-    a.out = false;
-    if (ended.outcome == Outcome::kRead) overtake(a, ended.took);
-    e.readTokens -= a.tokens;
-    judge(*r, a, ended);
+    Attempt* a = attemptOf(r, ended.attempt);
+    if (a == nullptr || !a->out) return;
+    Engine& e = *a->engine;
+    if (!r->openedAt) signOfLife(*a, ended.took, ended.outcome == Outcome::kRead);
+    a->out = false;
+    if (ended.outcome == Outcome::kRead) overtake(*a, ended.took);
+    e.readTokens -= a->tokens;
+    judge(*r, *a, ended);
     settle(*r, e, ended);
     forgetIfDone(ended.request);
   }
@@ -974,9 +976,9 @@
     }
   }
 
-  // Guards the clients of a node that ends. Killed with it, their streams would all come again at once, maybe
-  // while a peer is down as well. Spread over the end of the grace: no wave of reads meets the peers' own.
-  // What has longest to go by its limit moves first, of these the youngest; the others may yet end here.
+  // Guards the clients of a node that ends. Killed with it, their streams would all come again at once.
+  // Spread over the end of the grace, no wave of reads meets the peers' own. What may go on longest moves
+  // first.
   void handOver() {
     const double passed = ratio(now_ - *stopsAt_, grace_);
     std::vector<std::tuple<double, Time, RequestId>> streams;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -590,6 +590,43 @@
   EXPECT_EQ(fleet.give(rest).sentTo(), "r0");
 }
 
+// A reader with a queue of 0.75 s, beside a writer that holds the prompts of so many open streams.
+Fleet& jammedReader(Fleet& fleet, ListEntry writer, int streams) {
+  fleet.list({engine("r0", kReader), std::move(writer)});
+  for (int i = 0; i < streams; ++i) {
+    const std::string id = numbered("stream", i);
+    fleet.arrive(id, "", 6s, 10'000).wait(500ms).end(id, "r0", Outcome::kRead, 500ms);
+    fleet.wait(20ms).open(id, "w0");
+  }
+  for (int i = 0; i < 3; ++i) fleet.arrive(numbered("long", i), "", 6s, 5000);
+  return fleet;
+}
+
+// Guards a burst against being refused for want of readers while the writers have little to do.
+TEST(Admission, AWriterWithRoomReadsWhatAReaderCannotReadInTime) {
+  Settings s = plainSettings();
+  s.writersRead = true;
+  Fleet fleet(s);
+  jammedReader(fleet, engine("w0", kWriter), 1).arrive("late", "", 6s, 6000);
+  EXPECT_EQ(fleet.sentTo(), "w0");
+  EXPECT_FALSE(fleet.any<HoldPlace>());
+  fleet.wait(100ms).open("late", "w0").wait(100ms).end("late", "w0", Outcome::kServed, 200ms, true);
+  EXPECT_EQ(fleet.wait(1s).arrive("calm").sentTo(), "r0");  // the ordinary path stays
+}
+
+// Guards the streams of writers: reading comes between their steps, and a cold one may fall over.
+TEST(Admission, AWriterThatIsColdOrHoldsMuchOrCannotReadIsSparedThePrompt) {
+  Settings s = plainSettings();
+  Fleet unable(s);
+  EXPECT_TRUE(jammedReader(unable, engine("w0", kWriter), 1).arrive("late", "", 6s, 6000).any<Refuse>());
+  s.writersRead = true;
+  Fleet laden(s);
+  EXPECT_TRUE(jammedReader(laden, engine("w0", kWriter), 5).arrive("late", "", 6s, 6000).any<Refuse>());
+  Fleet cold(s);
+  EXPECT_TRUE(
+      jammedReader(cold, coldOne("w0", kWriter, cold.now()), 1).arrive("late", "", 6s, 6000).any<Refuse>());
+}
+
 TEST(Admission, RequestsWaitBeforeTheReadWhileEveryWriterIsFull) {
   Fleet fleet;
   fleet.list({engine("r0", kReader), engine("w0", kWriter)}).arrive("a");
