--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,7 +36,8 @@
 constexpr double kFullMemory = 0.95;   // share of a writer's memory that counts as full
 constexpr double kOutputShare = 0.25;  // of the most an answer may have, expected in memory
 constexpr double kRoomToRead = 0.45;   // and share below which a writer may read prompts as well,
-constexpr double kWriterReads = 2;     // which takes it so many times as long as a reader
+constexpr double kWriterReads = 2;     // which takes it so many times as long as a reader,
+constexpr double kLongRead = 0.6;      // where a reader would take so much of the time to the aim
 constexpr double kFullAims = 0.15;     // of the shortest aim that a refusal is believed
 constexpr int kPlaceTries = 3;         // places asked for one request; a note takes little of a read
 constexpr double kRefusedAims = 2.5;   // of its class's aim that an engine's refusal is believed
@@ -279,8 +280,8 @@
     say("using " + e.info.engine.value + " again");
   }
 
-  // By the best in use: where all fail alike, leaving one out gains nothing. Those that fail fast rule a
-  // mean.
+  // By the best in use: where all fail alike, leaving one out gains nothing. A mean is ruled by fast
+  // failures.
   double failsAllowed(const Engine& e) const {
     double best = 1;
     for (const auto& [id, x] : engines_)
@@ -428,8 +429,8 @@
     return e.heldTokens + (set_.nodes - 1) * held_ * shareOf(e.heldTokens, e.info.weight);
   }
 
-  bool full(const Engine& e) const {
-    return now_ < e.fullUntil || expectedTokens(e) > set_.kinds[e.info.kind.value].memoryTokens * kFullMemory;
+  bool full(const Engine& e, double share = kFullMemory) const {
+    return now_ < e.fullUntil || expectedTokens(e) > set_.kinds[e.info.kind.value].memoryTokens * share;
   }
 
   // A refusal, of work or of a place, says that slots or memory are out or that some wait there already.
@@ -585,27 +586,29 @@
 
   // Readers may be too few for a burst, or fail, while writers rest, which read too: slower, and between the
   // steps of their streams. So one that is warm, holds little and has least to read.
-  void readAtWriter(Request& r, bool mayWait) {
+  bool readAtWriter(Request& r) {
     Engine* best = nullptr;
     for (auto& [id, e] : engines_) {
-      const double most = set_.kinds[e.info.kind.value].memoryTokens * kRoomToRead;
-      if (e.role != Role::kWriter || !fit(e) || e.ejected || warmShare(e) < 1 || now_ < e.fullUntil ||
-          expectedTokens(e) > most || refuses(r, e) || r.avoid.count(id) != 0)
+      if (e.role != Role::kWriter || !fit(e) || e.ejected || warmShare(e) < 1 || full(e, kRoomToRead) ||
+          refuses(r, e) || r.avoid.count(id) != 0)
         continue;
       if (best == nullptr || std::pair(e.readTokens, load(e)) < std::pair(best->readTokens, load(*best)))
         best = &e;
     }
-    const double tokens = r.told.promptTokens + (best == nullptr ? 0 : best->readTokens);
-    const bool late = now_ + scaled(timeFor(tokens), kWriterReads) > r.aim;
-    if (best == nullptr || late || !set_.writersRead) return mayWait ? void() : finish(r);
+    if (best == nullptr || !set_.writersRead) return false;
+    if (now_ + scaled(timeFor(best->readTokens + r.told.promptTokens), kWriterReads) > r.aim) return false;
     letGo(r);
     book(r, *best);
     if (sendTo(r, *best, Phase::kWriting)) countSend(*best);
+    return true;
   }
 
   void startRead(Request& r) {
     Engine* reader = chooseReader(r);
-    if (reader == nullptr || worthless(r, *reader)) return readAtWriter(r, reader == nullptr);
+    const bool late = reader != nullptr && worthless(r, *reader);
+    const bool slow = reader == nullptr || readTime(r, *reader) > scaled(r.aim - now_, kLongRead);
+    if ((late || slow) && readAtWriter(r)) return;
+    if (reader == nullptr || late) return reader == nullptr ? void() : finish(r);
     letGo(r);
     r.reader = reader;
     if (reader->role == Role::kMixed) book(r, *reader);
@@ -636,8 +639,7 @@
     return now_ + scaled(r.deadline - now_, kSpareShare);
   }
 
-  // What an engine swallows while it answers the rest, and so is not silent, is overtaken: by others sent
-  // later, well ahead for their size. In a jam all wait alike.
+  // What an engine swallows is overtaken: by others sent later, well ahead for their size. Jams hold all up.
   void overtake(const Attempt& by, Duration took) {
     for (auto& [id, r] : requests_) {
       if (r.phase != Phase::kReading && r.phase != Phase::kWriting) continue;
@@ -824,8 +826,7 @@
     r.told = told;
     r.arrivedAt = now_;
     r.deadline = now_ + told.timeLeft;
-    // Whoever asks for the rest had its first token: the mean pace counts, and a refusal loses what is
-    // written.
+    // Whoever asks for the rest had its first token: the mean pace counts, and a refusal loses it all.
     r.aim = now_ + classOf(r).aim + scaled(classOf(r).aimPer1000, told.promptTokens / 1000);
     if (told.resumed) r.aim = r.deadline;
     retries_ = std::min(kRetryBurst, retries_ + kRetryShare);
@@ -976,9 +977,8 @@
     }
   }
 
-  // Guards the clients of a node that ends. Killed with it, their streams would all come again at once.
-  // Spread over the end of the grace, no wave of reads meets the peers' own. What may go on longest moves
-  // first.
+  // Guards the clients of a node that ends, whose streams would all come again at once when it is killed:
+  // here they move over the end of the grace, and what may go on longest first.
   void handOver() {
     const double passed = ratio(now_ - *stopsAt_, grace_);
     std::vector<std::tuple<double, Time, RequestId>> streams;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -611,7 +611,18 @@
   EXPECT_EQ(fleet.sentTo(), "w0");
   EXPECT_FALSE(fleet.any<HoldPlace>());
   fleet.wait(100ms).open("late", "w0").wait(100ms).end("late", "w0", Outcome::kServed, 200ms, true);
-  EXPECT_EQ(fleet.wait(1s).arrive("calm").sentTo(), "r0");  // the ordinary path stays
+  for (const std::string id : {"long0", "long1"}) fleet.end(id, "r0", Outcome::kRead, 250ms);
+  EXPECT_EQ(fleet.wait(3s).arrive("calm").sentTo(), "r0");  // the ordinary path stays
+}
+
+// Guards against answers that come late because a reader's queue is long, though not too long to try.
+TEST(Admission, AWriterWithRoomReadsWhatWouldTakeAReaderMostOfTheAim) {
+  Settings s = plainSettings();
+  Fleet unable(s);
+  EXPECT_EQ(jammedReader(unable, engine("w0", kWriter), 1).arrive("next", "", 6s, 2000).sentTo(), "r0");
+  s.writersRead = true;
+  Fleet fleet(s);
+  EXPECT_EQ(jammedReader(fleet, engine("w0", kWriter), 1).arrive("next", "", 6s, 4000).sentTo(), "w0");
 }
 
 // Guards the streams of writers: reading comes between their steps, and a cold one may fall over.
