--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -312,6 +312,9 @@
   // Other settings from now on. Classes, tenants and kinds keep their places; more may follow them.
   void reconfigure(const Settings& settings);
 
+  // Whether an engine that is listed is passed over for now, as it failed or is silent.
+  bool avoids(Time now, const EngineId& engine) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <csignal>
 
+#include "app/operations.h"
 #include "app/otlp.h"
+#include "net/line_door.h"
 
 namespace dahliastall::app {
 
@@ -52,6 +54,7 @@
       clock(time),
       loop(io, clock, deadlines),
       conductor(setup.settings, seed, clock, deadlines, counters),
+      membership(seed),
       pool(io, clock, deadlines, counters,
            {boxConnections, core::toMs(setup.settings.limits.dialTimeout), idleCloseMs * kIdleShare,
             kAnswerBytes}),
@@ -93,9 +96,11 @@
 }
 
 void Engine::stop() {
-  spdlog::info("stopping: serving what still arrives, then what was taken");
+  const bool replaced = succeeded();
+  spdlog::info("stopping: {}, then finishing what was taken",
+               replaced ? "another process serves what arrives" : "serving what still arrives");
   if (ending_.graceMs) conductor.stopping(*ending_.graceMs);
-  listener_->drain(ending_.doorOpenMs, [this] { finish(); });
+  listener_->drain(replaced ? 0 : ending_.doorOpenMs, [this] { finish(); });
 }
 
 // Also while the program drains: what it has taken still needs the list. A file that cannot be read or used
@@ -127,6 +132,19 @@
                                         *telemetry.collector, telemetry.intervalMs);
 }
 
+std::unique_ptr<net::LineDoor> doorFor(const std::optional<net::Endpoint>& address, Operations& operations,
+                                       Engine& engine) {
+  if (!address) return nullptr;
+  return std::make_unique<net::LineDoor>(
+      engine.io, *address, [&operations](std::string_view line) { return control::answer(operations, line); },
+      engine.clock, engine.deadlines, engine.counters);
+}
+
+std::unique_ptr<SharedFolder> folderFor(const Config& config) {
+  if (!config.admin || config.sharedFolder.empty()) return nullptr;
+  return std::make_unique<SharedFolder>(config.sharedFolder, config.name);
+}
+
 void sayListening(const std::string& name, const net::Listener& listener) {
   spdlog::info("{} listens on {}:{}", name, listener.address().address().to_string(),
                listener.address().port());
@@ -135,11 +153,11 @@
 }  // namespace
 
 Engine::Ending platformEnding(const leverrelay::Settings& settings) {
-  if (!settings.resume) return {kDoorOpenMs, std::nullopt};
+  if (!settings.resume) return {kDoorOpenMs, std::nullopt, {}};
   double longest = 0;
   for (const auto& cls : settings.classes) longest = std::max(longest, core::toMs(cls.deadline));
   const double grace = std::min(longest, kLongestDeadlineMs) + kBeyondDeadlineMs;
-  return {std::max(kDoorOpenMs, grace * kDoorShare), grace};
+  return {std::max(kDoorOpenMs, grace * kDoorShare), grace, {}};
 }
 
 void serve(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread) {
@@ -148,16 +166,24 @@
   Engine engine(io, clock, config.setup, config.seed, config.limits.boxes(), config.idleCloseMs,
                 fronts::platformDialect());
   fronts::PlatformFront front(engine.conductor, config.setup.names, engine.clock, engine.counters);
-  fronts::Discovery discovery(engine.io, engine.clock, engine.deadlines, engine.counters, engine.conductor,
+  fronts::Discovery discovery(engine.io, engine.clock, engine.deadlines, engine.counters, engine,
                               engine.directory, engine.pool, config.setup.names);
   if (!config.known.is_null()) discovery.known(config.known);
   discovery.watch(config.discovery);
   const auto exporter = exporterFor(engine, telemetry);
   net::Listener listener(engine.io, config.listen, config.limits.clients(), front, engine.clock,
-                         engine.deadlines, engine.counters);
+                         engine.deadlines, engine.counters,
+                         {.sharedPort = config.admin.has_value(), .open = false});
+  front.readyWhen([&listener] { return !listener.evacuated(); });
+  Operations operations({engine, listener, config.setup, config.limits, [&] { return discovery.spoken(); }},
+                        folderFor(config));
+  const auto door = doorFor(config.admin, operations, engine);
   sayListening(config.name, listener);
+  operations.start();
+  Engine::Ending ending = platformEnding(config.setup.settings);
+  ending.successor = [&operations] { return operations.hasSuccessor(); };
   // $GW_DISCOVERY holds what counted at the start: only a change within the file says that it has moved.
-  engine.run(listener, platformEnding(config.setup.settings), [&, inFile = config.discoveryInFile]() mutable {
+  engine.run(listener, ending, [&, inFile = config.discoveryInFile]() mutable {
     const Config fresh = reread();
     if (!fresh.discoveryInFile || fresh.discoveryInFile == inFile) return;
     inFile = fresh.discoveryInFile;
@@ -179,13 +205,15 @@
   keeps(site.setup.names.zones, fresh.setup.names.zones, "zones");
   if (fresh.listen != site.listen || fresh.sockets != site.sockets)
     spdlog::warn("SIGHUP: listen and sockets change with the next start only");
+  if (fresh.admin != site.admin) spdlog::warn("SIGHUP: admin_addr changes with the next start only");
   fresh.listen = site.listen;
+  fresh.admin = site.admin;
   fresh.sockets = site.sockets;
   fresh.boxes.version = site.boxes.version + 1;
   site = std::move(fresh);
   engine.reconfigure(site.setup.settings, fronts::openaiDialect(site));
   engine.directory.update(site.directory.all(), /*whole=*/true, engine.pool);
-  engine.conductor.list(site.boxes);
+  engine.list(site.boxes);
 }
 
 void serve(const fronts::OperatorFile& first, const Telemetry& telemetry,
@@ -197,13 +225,17 @@
   Engine engine(io, clock, site.setup, site.seed, limits.boxes(), site.idleCloseMs,
                 fronts::openaiDialect(site));
   engine.directory = site.directory;
-  engine.conductor.list(site.boxes);
+  engine.list(site.boxes);
   fronts::OpenAiFront front(engine.conductor, site, engine.clock, engine.counters, fronts::randomIds());
   const auto exporter = exporterFor(engine, telemetry);
   net::Listener listener(engine.io, site.listen, limits.clients(), front, engine.clock, engine.deadlines,
-                         engine.counters);
+                         engine.counters, {.sharedPort = false, .open = false});
+  front.readyWhen([&listener] { return !listener.evacuated(); });
+  Operations operations({engine, listener, site.setup, limits, [] { return true; }}, nullptr);
+  const auto door = doorFor(site.admin, operations, engine);
   sayListening("chat API", listener);
-  engine.run(listener, {kDoorOpenMs, std::nullopt}, [&] {
+  operations.start();
+  engine.run(listener, {kDoorOpenMs, std::nullopt, {}}, [&] {
     takeOver(reread(), site, engine);
     spdlog::info("SIGHUP: {} boxes, {} models, {} keys", site.boxes.entries.size(), site.models.size(),
                  site.keys.size());
--- a/src/app/conductor_app.h
+++ b/src/app/conductor_app.h
@@ -8,6 +8,7 @@
 
 #include "app/config.h"
 #include "core/conductor.h"
+#include "fleet/membership.h"
 #include "fronts/boxes/boxes.h"
 #include "fronts/openai/openai_front.h"
 #include "fronts/platform/discovery.h"
@@ -18,20 +19,25 @@
 namespace dahliastall::app {
 
 // The part that every front needs: loop, core, pool and boxes.
-class Engine {
+class Engine final : public core::ListSink {
  public:
   Engine(boost::asio::io_context& context, const core::Clock& time, const leverrelay::wire::Setup& setup,
          std::uint64_t seed, std::size_t boxConnections, double idleCloseMs, fronts::BoxDialect dialect);
 
   struct Ending {
-    double doorOpenMs;              // new requests are served so long after the signal
-    std::optional<double> graceMs;  // the process is killed no sooner than this after it; none: never
+    double doorOpenMs;                // new requests are served so long after the signal
+    std::optional<double> graceMs;    // the process is killed no sooner than this after it; none: never
+    std::function<bool()> successor;  // whether another process serves at the same address; then the door
+                                      // closes at once
   };
 
   // Runs until SIGTERM or SIGINT has been followed by the end of all that was taken. Counters go to the log
   // on SIGUSR1 and at the end. SIGHUP calls reload, whose exceptions are logged and change nothing else.
   void run(net::Listener& listener, const Ending& ending, std::function<void()> reload);
 
+  // What a list says goes through the membership to the module.
+  void list(leverrelay::ListNews news) override { conductor.list(membership.told(news, clock.nowMs())); }
+
   // What a reload brings, as far as it can change under way.
   void reconfigure(const leverrelay::Settings& settings, fronts::BoxDialect dialect);
 
@@ -41,6 +47,7 @@
   core::Counters counters;
   net::Loop loop;
   core::Conductor conductor;
+  fleet::Membership membership;
   net::Pool pool;
   fronts::Directory directory;
   fronts::Boxes boxes;
@@ -48,6 +55,7 @@
  private:
   void onSignal();
   void stop();
+  bool succeeded() const { return ending_.successor && ending_.successor(); }
   void reload();
   void finish();
 
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -62,6 +62,10 @@
     config.discovery = fronts::endpointOf(pick(file, environment, "GW_DISCOVERY", "discovery"));
     if (file.contains("discovery"))
       config.discoveryInFile = fronts::endpointOf(file.at("discovery").get<std::string>());
+    if (file.contains("admin_addr") || environment.count("GW_ADMIN_ADDR") != 0)
+      config.admin = fronts::endpointOf(pick(file, environment, "GW_ADMIN_ADDR", "admin_addr"));
+    if (const auto folder = environment.find("TMPDIR"); folder != environment.end())
+      config.sharedFolder = folder->second;
     config.seed = seedOf(file);
     if (file.contains("limits")) config.limits.sockets = file.at("limits").value("sockets", 1024U);
     if (config.limits.sockets < 128) throw ConfigError("limits.sockets is under 128: too few to serve");
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -30,6 +30,8 @@
 struct Config {
   std::string name;
   net::Endpoint listen, discovery;
+  std::optional<net::Endpoint> admin;            // the operators' door; none: there is no such door
+  std::string sharedFolder;                      // with a process that replaces this one; empty: none
   std::optional<net::Endpoint> discoveryInFile;  // which may differ from what the environment says
   std::uint64_t seed = 0;
   Limits limits;
@@ -43,7 +45,7 @@
 
 nlohmann::json readJson(const std::string& path);
 
-// GW_NAME, GW_LISTEN and GW_DISCOVERY come before what the file says. Throws ConfigError.
+// GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR come before what the file says. Throws ConfigError.
 Config configOf(const nlohmann::json& file, const Environment& environment);
 
 }  // namespace dahliastall::app
--- /dev/null
+++ b/src/app/operations.cpp
@@ -0,0 +1,148 @@
+#include "app/operations.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace dahliastall::app {
+
+using leverrelay::ListNews;
+
+namespace {
+
+// How often the shared folder is looked at: what an operator told the other process has to hold here well
+// within the grace of a drain, which runs from that process's answer.
+constexpr double kLookMs = 100;
+// Without a word from discovery the list that the configuration carries has to do.
+constexpr double kListWaitMs = 2'000;
+
+}  // namespace
+
+Operations::Operations(Parts parts, std::unique_ptr<SharedFolder> folder)
+    : parts_(std::move(parts)), folder_(std::move(folder)), startedMs_(parts_.engine.clock.nowMs()) {
+  if (folder_ && !folder_->usable()) {
+    spdlog::warn("the shared folder cannot be used: exclusions hold in this process only");
+    folder_ = nullptr;
+  }
+}
+
+Operations::~Operations() { parts_.engine.deadlines.cancel(next_); }
+
+void Operations::start() {
+  if (folder_) {
+    readMarks();
+    share(folder_->others());
+  }
+  if (others_.serving == 0) openDoor();
+  if (folder_ || !parts_.listener.isOpen()) tick();
+}
+
+bool Operations::hasSuccessor() { return folder_ && folder_->others().serving > 0; }
+
+void Operations::tick() {
+  if (folder_) {
+    share(folder_->others());
+    readMarks();
+  }
+  if (!parts_.listener.isOpen() && mayServe()) openDoor();
+  next_ = parts_.engine.deadlines.add(parts_.engine.clock.nowMs() + kLookMs, [this] { tick(); });
+}
+
+bool Operations::mayServe() const {
+  return parts_.spoken() || parts_.engine.clock.nowMs() - startedMs_ >= kListWaitMs;
+}
+
+void Operations::openDoor() {
+  parts_.listener.open();
+  if (folder_) folder_->sayServing();
+}
+
+// Two processes of one conductor keep within one's limits: each takes its part of the connections, and what a
+// cold box may be sent is shared among one node more.
+void Operations::share(SharedFolder::Others others) {
+  if (others == others_) return;
+  if (others.alive != others_.alive) {
+    spdlog::info("processes of this conductor beside this one: {}", others.alive);
+    const std::size_t parts = others.alive + 1;
+    parts_.listener.capAt(parts_.limits.clients() / parts);
+    parts_.engine.pool.capAt(parts_.limits.boxes() / parts);
+    leverrelay::Settings settings = parts_.setup.settings;
+    settings.nodes += static_cast<int>(others.alive);
+    parts_.engine.conductor.reconfigure(settings);
+  }
+  others_ = others;
+}
+
+void Operations::tell(const std::optional<ListNews>& news) {
+  if (!news) return;
+  for (const leverrelay::ListEntry& entry : news->entries) {
+    const bool out = parts_.engine.membership.excluded(entry.engine);
+    spdlog::info("instance {} is {}", entry.engine.value, out ? "excluded" : "included");
+    // It may have been started anew: what led to it would only end as resets.
+    const fronts::Box* box = parts_.engine.directory.find(entry.engine);
+    if (!out && box != nullptr) parts_.engine.pool.dropIdle(box->address);
+  }
+  parts_.engine.conductor.list(*news);
+}
+
+void Operations::readMarks() {
+  const auto text = folder_->freshText();
+  if (!text) return;
+  const auto marks = fleet::Marks::parse(*text);
+  if (!marks) {
+    spdlog::error("the shared file of exclusions cannot be read; it is ignored");
+    ++parts_.engine.counters["marks.unreadable"];
+    return;
+  }
+  tell(parts_.engine.membership.merge(*marks));
+  // Written by both at once, one's news may be missing from it.
+  if (!(parts_.engine.membership.marks() == *marks)) writeMarks();
+}
+
+void Operations::writeMarks() {
+  if (!folder_ || folder_->write(parts_.engine.membership.marks().text())) return;
+  spdlog::error("the shared file of exclusions cannot be written");
+  ++parts_.engine.counters["marks.unwritten"];
+}
+
+control::Service::Done Operations::ready() {
+  if (parts_.listener.evacuated()) return {false, "evacuated"};
+  if (!parts_.listener.isOpen() || !mayServe()) return {false, "not yet"};
+  return {true, "ready"};
+}
+
+control::Service::Done Operations::marked(const std::string& id, bool out) {
+  if (folder_) readMarks();  // what the other process was told comes before this
+  const double now = parts_.engine.clock.nowMs();
+  fleet::Membership& members = parts_.engine.membership;
+  const auto change = out ? members.exclude(id, now) : members.include(id, now);
+  if (change.verdict == fleet::Membership::Verdict::kUnknown) return {false, "no instance has this id"};
+  if (change.verdict == fleet::Membership::Verdict::kNoRoom) return {false, "too many instances are marked"};
+  writeMarks();
+  tell(change.news);
+  return {true, id + (out ? " is excluded" : " is included")};
+}
+
+control::Service::Done Operations::exclude(const std::string& id) { return marked(id, true); }
+control::Service::Done Operations::include(const std::string& id) { return marked(id, false); }
+
+control::Service::Done Operations::evacuate() {
+  if (!parts_.listener.evacuated()) spdlog::info("evacuating: clients are sent away");
+  parts_.listener.evacuate();
+  return {true, "evacuating, " + std::to_string(open()) + " requests open"};
+}
+
+control::Service::Done Operations::activate() {
+  if (parts_.listener.evacuated()) spdlog::info("active again");
+  parts_.listener.activate();
+  return {true, "active"};
+}
+
+control::Service::Pool Operations::pool() {
+  Pool pool{parts_.engine.membership.listed().size(), 0};
+  for (const auto& [id, entry] : parts_.engine.membership.listed())
+    if (parts_.engine.membership.excluded(id) || parts_.engine.conductor.avoids(id)) ++pool.avoided;
+  return pool;
+}
+
+}  // namespace dahliastall::app
--- /dev/null
+++ b/src/app/operations.h
@@ -0,0 +1,62 @@
+// What operators' calls act on: the parts of the running program, and what two processes of one conductor
+// share while one replaces the other.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/conductor_app.h"
+#include "app/config.h"
+#include "app/shared_folder.h"
+#include "control/commands.h"
+
+namespace dahliastall::app {
+
+class Operations final : public control::Service {
+ public:
+  struct Parts {
+    Engine& engine;
+    net::Listener& listener;
+    const leverrelay::wire::Setup& setup;
+    Limits limits;
+    std::function<bool()> spoken;  // whether the list is what discovery says now
+  };
+
+  // folder: none where this process is alone in any case.
+  Operations(Parts parts, std::unique_ptr<SharedFolder> folder);
+  ~Operations() override;
+
+  // Opens the listener: at once where nobody serves, else as soon as the list is known.
+  void start();
+  // Whether another process serves at the same address, so that nothing is lost if this one closes its door.
+  bool hasSuccessor();
+
+  Done ready() override;
+  Done exclude(const std::string& id) override;
+  Done include(const std::string& id) override;
+  Done evacuate() override;
+  Done activate() override;
+  const core::Figures& figures() override { return parts_.engine.conductor.figures(); }
+  std::size_t open() override { return parts_.engine.conductor.open(); }
+  Pool pool() override;
+  const std::vector<std::string>& classes() override { return parts_.setup.names.classes; }
+
+ private:
+  void tick();
+  void share(SharedFolder::Others others);
+  void readMarks();
+  void writeMarks();
+  void tell(const std::optional<leverrelay::ListNews>& news);
+  Done marked(const std::string& id, bool out);
+  bool mayServe() const;
+  void openDoor();
+
+  Parts parts_;
+  std::unique_ptr<SharedFolder> folder_;
+  SharedFolder::Others others_;
+  std::optional<core::Deadlines::Key> next_;
+  double startedMs_;
+};
+
+}  // namespace dahliastall::app
--- /dev/null
+++ b/src/control/commands.cpp
@@ -0,0 +1,84 @@
+#include "control/commands.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace dahliastall::control {
+
+namespace {
+
+std::string line(const Service::Done& done) {
+  return (done.ok ? "ok" : "fail") + (done.why.empty() ? "" : " " + done.why) + "\n";
+}
+
+std::vector<std::string> wordsOf(std::string_view text) {
+  std::vector<std::string> words;
+  while (true) {
+    const std::size_t from = text.find_first_not_of(" \t");
+    if (from == std::string_view::npos) return words;
+    text.remove_prefix(from);
+    const std::size_t to = std::min(text.find_first_of(" \t"), text.size());
+    words.emplace_back(text.substr(0, to));
+    text.remove_prefix(to);
+  }
+}
+
+// A label's value in quotes, as the exposition format of such figures wants it.
+std::string quoted(const std::string& text) {
+  std::string out = "\"";
+  for (const char c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    if (c == '\n') out += "\\n";
+    else out += c;
+  }
+  return out + "\"";
+}
+
+}  // namespace
+
+std::string telemetry(Service& service) {
+  const auto& figures = service.figures().byClass();
+  const auto& names = service.classes();
+  std::string text;
+  const auto perClass = [&](const char* name, std::uint64_t core::ClassFigures::*value) {
+    for (std::size_t i = 0; i < figures.size() && i < names.size(); ++i)
+      text +=
+          std::string(name) + "{kind=" + quoted(names[i]) + "} " + std::to_string(figures[i].*value) + "\n";
+  };
+  perClass("app_ok_total", &core::ClassFigures::ok);
+  perClass("app_shed_total", &core::ClassFigures::shed);
+  perClass("app_errors_total", &core::ClassFigures::errors);
+  perClass("app_tries_total", &core::ClassFigures::tries);
+  const Service::Pool pool = service.pool();
+  text += "app_active " + std::to_string(service.open()) + "\n";
+  text += "app_pool_size " + std::to_string(pool.listed) + "\n";
+  text += "app_pool_ejected " + std::to_string(pool.avoided) + "\n";
+  return text;
+}
+
+std::string answer(Service& service, std::string_view text) {
+  if (text.size() > kLongestLine)
+    return line({false, "a line has at most " + std::to_string(kLongestLine) + " bytes"});
+  const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+  });
+  if (!plain) return line({false, "a line is plain text"});
+  const std::vector<std::string> words = wordsOf(text);
+  if (words.empty()) return line({false, "an empty line"});
+  const std::string& call = words.front();
+  const bool named = call == "exclude" || call == "include";
+  if (words.size() != (named ? 2U : 1U) &&
+      (named || call == "readyz" || call == "telemetry" || call == "evacuate" || call == "activate"))
+    return line({false, call + (named ? " takes one instance's id" : " takes nothing")});
+  if (call == "readyz") return line(service.ready());
+  if (call == "telemetry") return telemetry(service) + "eof\n";
+  if (call == "exclude") return line(service.exclude(words[1]));
+  if (call == "include") return line(service.include(words[1]));
+  if (call == "evacuate") return line(service.evacuate());
+  if (call == "activate") return line(service.activate());
+  return line(
+      {false, "unknown call; known are readyz, telemetry, exclude ID, include ID, evacuate, activate"});
+}
+
+}  // namespace dahliastall::control
--- /dev/null
+++ b/src/control/commands.h
@@ -0,0 +1,44 @@
+// What operators may ask for, and the answers. Knows no wire: the one-line door stands on it.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/figures.h"
+
+namespace dahliastall::control {
+
+// What commands act on; whoever runs the program provides it.
+class Service {
+ public:
+  struct Done {
+    bool ok;
+    std::string why;  // for people: what was done, or why not
+  };
+  struct Pool {
+    std::size_t listed, avoided;
+  };
+
+  virtual ~Service() = default;
+  virtual Done ready() = 0;
+  virtual Done exclude(const std::string& id) = 0;
+  virtual Done include(const std::string& id) = 0;
+  virtual Done evacuate() = 0;
+  virtual Done activate() = 0;
+  virtual const core::Figures& figures() = 0;
+  virtual std::size_t open() = 0;
+  virtual Pool pool() = 0;
+  virtual const std::vector<std::string>& classes() = 0;
+};
+
+constexpr std::size_t kLongestLine = 1024;
+
+// One line, without its end, to the whole text of the answer. A line that is not understood changes nothing.
+std::string answer(Service& service, std::string_view line);
+
+// The figures alone.
+std::string telemetry(Service& service);
+
+}  // namespace dahliastall::control
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -50,10 +50,13 @@
       counters_(counters),
       router_(settings, seed),
       drainGraceMs_(toMs(settings.contract.drainGrace)),
-      answerGraceMs_(toMs(settings.contract.answerGrace)) {}
+      answerGraceMs_(toMs(settings.contract.answerGrace)) {
+  figures_.classes(settings.classes.size());
+}
 
 void Conductor::reconfigure(const Settings& settings) {
   router_.reconfigure(settings);
+  figures_.classes(settings.classes.size());
   drainGraceMs_ = toMs(settings.contract.drainGrace);
   answerGraceMs_ = toMs(settings.contract.answerGrace);
 }
@@ -66,6 +69,8 @@
   ++counters_["requests.taken"];
   Request request;
   request.id = arrival.request;
+  request.cls = arrival.cls.value;
+  figures_.taken(request.cls);
   request.payload = std::move(payload);
   request.answerer = std::move(answerer);
   request.deadlineMs = clock_.nowMs() + toMs(arrival.timeLeft);
@@ -79,7 +84,7 @@
     if (late == nullptr || !late->answerer || late->streaming) return;
     late->overdue.reset();
     ++counters_["requests.overdue"];
-    conclude(*late)->fail({true});
+    conclude(*late, Ending::kError)->fail({true});
     lapsed_.push_back(key);
     post(Lapsed{late->id});
   });
@@ -91,7 +96,7 @@
   Request* r = requests_.find(key);
   if (r == nullptr || !r->answerer) return;
   ++counters_["requests.client_gone"];
-  conclude(*r);
+  conclude(*r, Ending::kAbandoned);
   lapsed_.push_back(key);
   post(Lapsed{r->id});
 }
@@ -186,6 +191,12 @@
   return answerer->pass(part);
 }
 
+void Conductor::written(AttemptKey key) {
+  const Attempt* a = attempts_.find(key);
+  if (a == nullptr) return;
+  if (const Request* r = requests_.find(a->request)) figures_.tried(r->cls);
+}
+
 void Conductor::ended(AttemptKey key, const Result& result) { close(key, result); }
 
 void Conductor::placeAnswered(AttemptKey reading, const EngineId& engine, bool held) {
@@ -215,8 +226,9 @@
   attempts_.remove(key);
   --r.out;
   if (r.answerer && (streamed || result.outcome == Outcome::kServed)) {
-    const std::shared_ptr<Answerer> answerer = conclude(r);
-    if (result.outcome == Outcome::kServed) {
+    const bool whole = result.outcome == Outcome::kServed;
+    const std::shared_ptr<Answerer> answerer = conclude(r, whole ? Ending::kOk : Ending::kError);
+    if (whole) {
       ++counters_["requests.served"];
       answerer->end();
     } else {
@@ -238,7 +250,8 @@
 }
 
 // The one gate for final answers: whoever gets the answerer out of here is the only one to use it.
-std::shared_ptr<Answerer> Conductor::conclude(Request& request) {
+std::shared_ptr<Answerer> Conductor::conclude(Request& request, Ending how) {
+  figures_.ended(request.cls, how);
   deadlines_.cancel(request.overdue);
   --unanswered_;
   return std::move(request.answerer);
@@ -308,14 +321,14 @@
           if (r == nullptr || !r->answerer || r->streaming) return;
           ++counters_["requests.refused"];
           const bool late = clock_.nowMs() >= r->deadlineMs;
-          conclude(*r)->refuse(
-              {what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt, late});
+          conclude(*r, Ending::kShed)
+              ->refuse({what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt, late});
         } else if constexpr (std::is_same_v<What, Fail>) {
           Request* r = byId(what.request);
           if (r == nullptr || !r->answerer || r->streaming) return;
           ++counters_["requests.failed"];
           const bool late = clock_.nowMs() >= r->deadlineMs;
-          conclude(*r)->fail({late});
+          conclude(*r, Ending::kError)->fail({late});
         } else if constexpr (std::is_same_v<What, Release>) {
           ++counters_["releases.sent"];
           engines_->release(what.request);
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -15,13 +15,14 @@
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/deadlines.h"
+#include "core/figures.h"
 #include "core/ports.h"
 #include "core/slots.h"
 #include "leverrelay/router.h"
 
 namespace dahliastall::core {
 
-class Conductor {
+class Conductor final : public ListSink {
  public:
   Conductor(const leverrelay::Settings& settings, std::uint64_t seed, const Clock& clock,
             Deadlines& deadlines, Counters& counters);
@@ -41,12 +42,13 @@
   void clientReady(RequestKey key);
 
   // From discovery.
-  void list(leverrelay::ListNews news);
+  void list(leverrelay::ListNews news) override;
 
   // From the engines' side.
   bool maySend(AttemptKey key) const;  // asked again just before a send that had to wait is written
   bool mayHold(const leverrelay::EngineId& engine) const;
   bool passed(AttemptKey key, std::string_view part);
+  void written(AttemptKey key);  // the attempt's last byte is out
   void ended(AttemptKey key, const Result& result);
   void placeAnswered(AttemptKey reading, const leverrelay::EngineId& engine, bool held);
   void probed(const leverrelay::EngineId& engine, double tookMs, bool answered);
@@ -56,6 +58,11 @@
 
   std::size_t enginesKnown() const { return fleet_.size(); }
   std::size_t open() const { return unanswered_; }  // requests that are owed an answer or its rest
+  const Figures& figures() const { return figures_; }
+  // Whether the module passes a listed engine over by its own judgement.
+  bool avoids(const leverrelay::EngineId& engine) const {
+    return router_.avoids(toModuleTime(clock_.nowMs()), engine);
+  }
 
  private:
   struct Listing {                    // what the list last said of an engine
@@ -72,6 +79,7 @@
   };
   struct Request {
     leverrelay::RequestId id;
+    std::size_t cls = 0;
     std::shared_ptr<const Payload> payload;
     std::shared_ptr<Answerer> answerer;  // none once the final answer is given or the client is gone
     std::vector<AttemptKey> attempts;
@@ -94,7 +102,7 @@
   void timeOut(AttemptKey key);
   void close(AttemptKey key, const Result& result);
   void callOffAll(RequestKey key);
-  std::shared_ptr<Answerer> conclude(Request& request);
+  std::shared_ptr<Answerer> conclude(Request& request, Ending how);
   void forgetIfDone(RequestKey key);
   bool within(const leverrelay::EngineId& engine) const;
   void forgetGone();
@@ -113,6 +121,7 @@
   std::map<leverrelay::EngineId, Listing> fleet_;
   std::deque<leverrelay::Event> events_;
   std::vector<RequestKey> lapsed_;
+  Figures figures_;
   std::size_t unanswered_ = 0;
   bool running_ = false;
 };
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -38,6 +38,13 @@
   virtual void broken() = 0;                        // the stream ends unfinished
 };
 
+// Whoever wants to hear of the fleet list.
+class ListSink {
+ public:
+  virtual ~ListSink() = default;
+  virtual void list(leverrelay::ListNews news) = 0;
+};
+
 struct Dispatch {
   AttemptKey attempt;
   leverrelay::RequestId request;
--- /dev/null
+++ b/src/fleet/marks.h
@@ -0,0 +1,60 @@
+// What operators said of instances: a last-writer-wins map, so that what several processes have written can
+// be merged in any order and as often as one likes. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace dahliastall::fleet {
+
+struct Mark {
+  bool excluded = false;
+  std::uint64_t version = 0;  // one more than the highest that its writer had seen of this instance
+  std::uint64_t writer = 0;   // decides between two of the same version
+  double atMs = 0;            // when it was said, by the machine's clock
+
+  bool supersedes(const Mark& other) const {
+    return std::tie(version, writer) > std::tie(other.version, other.writer);
+  }
+  bool operator==(const Mark&) const = default;
+};
+
+class Marks {
+ public:
+  // Far above any site's instances: an operator's mistake in a loop must not fill memory.
+  static constexpr std::size_t kMost = 1024;
+  static constexpr std::size_t kLongestId = 256;
+
+  const Mark* find(const std::string& id) const {
+    const auto it = marks_.find(id);
+    return it == marks_.end() ? nullptr : &it->second;
+  }
+  bool excluded(const std::string& id) const {
+    const Mark* mark = find(id);
+    return mark != nullptr && mark->excluded;
+  }
+  std::size_t size() const { return marks_.size(); }
+  const std::map<std::string, Mark>& all() const { return marks_; }
+
+  // False if there is no room for another instance.
+  bool set(const std::string& id, bool excluded, std::uint64_t writer, double nowMs);
+  // The instances whose mark is another now.
+  std::vector<std::string> merge(const Marks& others);
+  void forget(const std::string& id) { marks_.erase(id); }
+
+  // The form in which they are kept, and back; nothing if that is no whole text of this form.
+  std::string text() const;
+  static std::optional<Marks> parse(std::string_view text);
+
+  bool operator==(const Marks&) const = default;
+
+ private:
+  std::map<std::string, Mark> marks_;
+};
+
+}  // namespace dahliastall::fleet
--- /dev/null
+++ b/src/fleet/membership.cpp
@@ -0,0 +1,83 @@
+#include "fleet/membership.h"
+
+#include <algorithm>
+
+#include "core/clock.h"
+
+namespace dahliastall::fleet {
+
+using namespace leverrelay;
+
+namespace {
+
+// An instance under repair may be off the list for long; past this its id is taken to be gone for good.
+constexpr double kMissingMs = 30 * 60'000;
+// An inclusion matters while the instance is cold and while another process may still hold the exclusion
+// before it.
+constexpr double kIncludedMs = 10 * 60'000;
+
+}  // namespace
+
+ListEntry Membership::effective(ListEntry entry) const {
+  const Mark* mark = marks_.find(entry.engine.value);
+  if (mark == nullptr) return entry;
+  if (mark->excluded) {
+    if (entry.presence == Presence::kActive) entry.presence = Presence::kLeaving;
+  } else {
+    // It may have been started anew at any moment until now, whatever the list says of that.
+    const Time included = core::toModuleTime(mark->atMs);
+    entry.started = entry.started ? std::max(*entry.started, included) : included;
+  }
+  return entry;
+}
+
+ListNews Membership::told(const ListNews& news, double nowMs) {
+  if (news.form == ListForm::kFailed) return news;
+  ListNews out{++version_, news.form, {}};
+  if (news.form != ListForm::kChanges) listed_.clear();
+  for (const ListEntry& entry : news.entries) {
+    if (entry.presence == Presence::kGone) listed_.erase(entry.engine);
+    else listed_[entry.engine] = entry;
+    out.entries.push_back(effective(entry));
+  }
+  tidy(nowMs);
+  return out;
+}
+
+std::optional<ListNews> Membership::newsOf(const std::vector<std::string>& ids) {
+  ListNews news{version_ + 1, ListForm::kChanges, {}};
+  for (const std::string& id : ids) {
+    const auto it = listed_.find({id});
+    if (it != listed_.end()) news.entries.push_back(effective(it->second));
+  }
+  if (news.entries.empty()) return std::nullopt;
+  ++version_;
+  return news;
+}
+
+Membership::Change Membership::mark(const std::string& id, bool excluded, double nowMs) {
+  const bool known = listed_.count({id}) != 0 || marks_.excluded(id);
+  if (!known || id.empty() || id.size() > Marks::kLongestId) return {Verdict::kUnknown, std::nullopt};
+  // Said again, it is no news; a second include in particular must not make a warm instance cold.
+  if (marks_.excluded(id) == excluded) return {Verdict::kDone, std::nullopt};
+  if (!marks_.set(id, excluded, writer_, nowMs)) return {Verdict::kNoRoom, std::nullopt};
+  tidy(nowMs);
+  return {Verdict::kDone, newsOf({id})};
+}
+
+std::optional<ListNews> Membership::merge(const Marks& others) { return newsOf(marks_.merge(others)); }
+
+void Membership::tidy(double nowMs) {
+  std::vector<std::string> spent;
+  for (const auto& [id, mark] : marks_.all()) {
+    if (listed_.count({id}) != 0) missingSince_.erase(id);
+    else if (nowMs - missingSince_.try_emplace(id, nowMs).first->second > kMissingMs) spent.push_back(id);
+    if (!mark.excluded && nowMs - mark.atMs > kIncludedMs) spent.push_back(id);
+  }
+  for (const std::string& id : spent) {
+    marks_.forget(id);
+    missingSince_.erase(id);
+  }
+}
+
+}  // namespace dahliastall::fleet
--- /dev/null
+++ b/src/fleet/membership.h
@@ -0,0 +1,53 @@
+// The effective membership: what discovery or the operator's file lists, overlaid with what operators said.
+// The module sees nothing else, so there is one notion of a drain: an excluded instance reads as leaving, and
+// one that is included again as started at that moment, hence cold. No I/O.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/marks.h"
+#include "leverrelay/router.h"
+
+namespace dahliastall::fleet {
+
+class Membership {
+ public:
+  // writer: tells this process from others that mark the same instances.
+  explicit Membership(std::uint64_t writer) : writer_(writer) {}
+
+  // What a list says, as the module is to hear it.
+  leverrelay::ListNews told(const leverrelay::ListNews& news, double nowMs);
+
+  enum class Verdict { kDone, kUnknown, kNoRoom };
+  struct Change {
+    Verdict verdict;
+    std::optional<leverrelay::ListNews> news;  // nothing: the module need not hear of it
+  };
+  Change exclude(const std::string& id, double nowMs) { return mark(id, true, nowMs); }
+  Change include(const std::string& id, double nowMs) { return mark(id, false, nowMs); }
+
+  // What other processes marked.
+  std::optional<leverrelay::ListNews> merge(const Marks& others);
+  // Lets go of marks that say nothing any more, or whose instance has been gone for long.
+  void tidy(double nowMs);
+
+  const Marks& marks() const { return marks_; }
+  const std::map<leverrelay::EngineId, leverrelay::ListEntry>& listed() const { return listed_; }
+  bool excluded(const leverrelay::EngineId& id) const { return marks_.excluded(id.value); }
+
+ private:
+  Change mark(const std::string& id, bool excluded, double nowMs);
+  leverrelay::ListEntry effective(leverrelay::ListEntry entry) const;
+  std::optional<leverrelay::ListNews> newsOf(const std::vector<std::string>& ids);
+
+  std::uint64_t writer_;
+  std::uint64_t version_ = 0;  // of what the module was told
+  Marks marks_;
+  std::map<leverrelay::EngineId, leverrelay::ListEntry> listed_;  // as the list says it
+  std::map<std::string, double> missingSince_;                    // marked, but not listed
+};
+
+}  // namespace dahliastall::fleet
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -53,6 +53,7 @@
 
   void written() override {
     written_ = true;
+    boxes_.conductor_.written(key_);
     if (place_) boxes_.askPlace(request_, key_, *std::exchange(place_, std::nullopt));
   }
 
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -15,6 +15,11 @@
   return key.has_value();
 }
 
+void Front::answerReady(net::ClientConnection& connection) {
+  const bool ready = !ready_ || ready_();
+  connection.answer(ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "evacuated\n");
+}
+
 void Front::gone(net::ClientConnection& connection) {
   const auto it = open_.find(&connection);
   if (it == open_.end()) return;
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -1,6 +1,7 @@
 // What the fronts share: which request is under way on which client's connection.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -15,6 +16,10 @@
   void gone(net::ClientConnection& connection) override;
   void drained(net::ClientConnection& connection) override;
 
+ public:
+  // Whether `GET /-/ready` says yes; as long as nothing is set it does.
+  void readyWhen(std::function<bool()> ready) { ready_ = std::move(ready); }
+
  protected:
   Front(core::Conductor& conductor, const core::Clock& clock, core::Counters& counters)
       : conductor_(conductor), clock_(clock), counters_(counters) {}
@@ -23,6 +28,7 @@
   // False if a request of this id is under way; nothing has been answered then.
   bool submit(net::ClientConnection& connection, leverrelay::Arrival arrival, double arrivedMs,
               std::shared_ptr<const ChatPayload> payload, std::shared_ptr<core::Answerer> answerer);
+  void answerReady(net::ClientConnection& connection);
   // Every final answer of a front calls this first.
   void over(const net::ClientConnection& connection) { open_.erase(&connection); }
 
@@ -31,6 +37,7 @@
   core::Counters& counters_;
 
  private:
+  std::function<bool()> ready_;
   std::map<const net::ClientConnection*, core::RequestKey> open_;
 };
 
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -165,8 +165,7 @@
   const std::string target(request.target().substr(0, request.target().find('?')));
   const bool get = request.method() == http::verb::get;
   try {
-    if (get && target == "/-/ready")
-      return connection->answer(200, {{"Content-Type", "text/plain"}}, "ready\n");
+    if (get && target == "/-/ready") return answerReady(*connection);
     const ApiKey& key = allowed(request);
     if (request.method() == http::verb::post && target == kChat)
       return chat(connection, request, key, arrivedMs);
--- a/src/fronts/openai/operator_file.cpp
+++ b/src/fronts/openai/operator_file.cpp
@@ -67,6 +67,7 @@
 OperatorFile operatorFileOf(const json& file) {
   OperatorFile to;
   to.listen = endpointOf(file.at("listen").get<std::string>());
+  if (file.contains("admin_addr")) to.admin = endpointOf(file.at("admin_addr").get<std::string>());
   to.seed = file.value("seed", to.seed);
   to.sockets = file.value("sockets", to.sockets);
   if (to.sockets < 128) throw std::invalid_argument("sockets is under 128: too few to serve");
--- a/src/fronts/openai/operator_file.h
+++ b/src/fronts/openai/operator_file.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 
 struct OperatorFile {
   net::Endpoint listen;
+  std::optional<net::Endpoint> admin;  // the operators' door; none: there is no such door
   std::uint64_t seed = 1;
   std::size_t sockets = 1024;
   double idleCloseMs = 30'000;
--- a/src/fronts/platform/discovery.cpp
+++ b/src/fronts/platform/discovery.cpp
@@ -91,12 +91,12 @@
 };
 
 Discovery::Discovery(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
-                     core::Counters& counters, core::Conductor& conductor, Directory& directory,
+                     core::Counters& counters, core::ListSink& lists, Directory& directory,
                      net::Pool& droppable, const wire::Vocabulary& names)
     : clock_(clock),
       deadlines_(deadlines),
       counters_(counters),
-      conductor_(conductor),
+      lists_(lists),
       directory_(directory),
       boxes_(droppable),
       names_(names),
@@ -195,7 +195,7 @@
   directory_.update(named, news.form != ListForm::kChanges, boxes_);
   revision_ = news.version;
   ++counters_["discovery.lists"];
-  conductor_.list(std::move(news));
+  lists_.list(std::move(news));
 }
 
 }  // namespace dahliastall::fronts
--- a/src/fronts/platform/discovery.h
+++ b/src/fronts/platform/discovery.h
@@ -8,7 +8,10 @@
 #include <string>
 #include <string_view>
 
-#include "core/conductor.h"
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "core/ports.h"
 #include "fronts/boxes/directory.h"
 #include "net/pool.h"
 #include "wire.h"
@@ -19,7 +22,7 @@
  public:
   // droppable: the pool of the boxes, whose idle connections go when a box restarts or leaves.
   Discovery(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
-            core::Counters& counters, core::Conductor& conductor, Directory& directory, net::Pool& droppable,
+            core::Counters& counters, core::ListSink& lists, Directory& directory, net::Pool& droppable,
             const leverrelay::wire::Vocabulary& names);
 
   ~Discovery();
@@ -28,6 +31,7 @@
   void known(const nlohmann::json& list);
   // Also while another address is watched: the list stays, and that watch too, until the new one speaks.
   void watch(const net::Endpoint& address);
+  bool spoken() const { return watch_ != nullptr; }  // whether a watch has said anything
   // One line of the watch; false if it is no list.
   bool line(std::string_view text);
 
@@ -42,7 +46,7 @@
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
   core::Counters& counters_;
-  core::Conductor& conductor_;
+  core::ListSink& lists_;
   Directory& directory_;
   net::Pool& boxes_;
   const leverrelay::wire::Vocabulary& names_;
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -132,8 +132,7 @@
 
 void PlatformFront::request(const std::shared_ptr<net::ClientConnection>& connection,
                             net::HttpRequest&& request, double arrivedMs) {
-  if (request.method() == http::verb::get && request.target() == "/-/ready")
-    return connection->answer(200, {{"Content-Type", "text/plain"}}, "ready\n");
+  if (request.method() == http::verb::get && request.target() == "/-/ready") return answerReady(*connection);
   if (request.method() != http::verb::post) return reject(*connection, 404, "nothing here");
   Arrival arrival{};
   try {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -98,7 +98,7 @@
   slow_ = deadlines_.add(clock_.nowMs() + afterMs, [self = shared_from_this()] {
     self->slow_.reset();
     if (self->state_ == State::kReading) return self->refuseInput(boost::asio::error::timed_out);
-    self->closeIdle();
+    if (self->state_ == State::kIdle) self->shut();
   });
 }
 
@@ -204,8 +204,14 @@
   deadlines_.add(clock_.nowMs() + kBreakOffMs, [self] { self->shut(); });
 }
 
+// Guards a request against a close that crosses it: what has come is read first, and who connected a moment
+// ago connected in order to ask.
 void ClientConnection::closeIdle() {
-  if (state_ == State::kIdle) shut();
+  if (state_ != State::kIdle) return;
+  if (!asked_ && clock_.nowMs() - connected_ < kYoungMs) return expire(kYoungMs);
+  char byte = 0;
+  if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return;
+  shut();
 }
 
 void ClientConnection::put(std::string_view bytes) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -61,7 +61,7 @@
   bool pass(std::string_view part);  // false: enough is waiting to be written, until drained()
   void endStream();
   void breakOff();   // closes without a last chunk
-  void closeIdle();  // closes between two requests
+  void closeIdle();  // closes between two requests, unless one has come already or may be about to
   void giveWay();    // closes what room() named
 
  private:
--- /dev/null
+++ b/src/net/line_door.cpp
@@ -0,0 +1,125 @@
+#include "net/line_door.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace dahliastall::net {
+
+namespace {
+
+constexpr double kAcceptPauseMs = 20;  // after accept failed, as when descriptors ran out
+constexpr std::size_t kReadSize = 512;
+
+}  // namespace
+
+class LineDoor::Caller final : public std::enable_shared_from_this<Caller> {
+ public:
+  Caller(LineDoor& door, boost::asio::ip::tcp::socket socket) : door_(&door), socket_(std::move(socket)) {}
+
+  void start() {
+    limit_ =
+        door_->deadlines_.add(door_->clock_.nowMs() + door_->limits_.callMs, [self = shared_from_this()] {
+          self->limit_.reset();
+          self->shut();
+        });
+    read();
+  }
+
+  void shut() {
+    if (door_ == nullptr) return;
+    LineDoor& door = *std::exchange(door_, nullptr);
+    door.deadlines_.cancel(limit_);
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    door.calls_.remove(shared_from_this());
+  }
+
+ private:
+  void read() {
+    socket_.async_read_some(
+        boost::asio::buffer(part_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+          if (self->door_ == nullptr) return;
+          if (self->answered_) {  // only its end is waited for
+            if (error) return self->shut();
+            return self->read();
+          }
+          self->line_.append(self->part_.data(), count);
+          self->see(/*ended=*/error == boost::asio::error::eof, static_cast<bool>(error));
+        });
+  }
+
+  // A line ends with its end, or with the caller's sending.
+  void see(bool ended, bool failed) {
+    const std::size_t end = line_.find('\n');
+    const std::size_t most = door_->limits_.lineBytes;
+    if (end != std::string::npos) line_.resize(end);
+    else if (line_.size() > most + 1) line_.resize(most + 1);
+    else if (ended && !line_.empty()) {
+    } else if (failed) return shut();
+    else return read();
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    answered_ = true;
+    text_ = door_->answer_(line_);
+    ++door_->counters_["door.calls"];
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(text_),
+        [self = shared_from_this(), ended](const boost::system::error_code& error, std::size_t) {
+          if (self->door_ == nullptr) return;
+          if (error || ended) return self->shut();
+          // Closing with input unread would reset the connection and take the answer from the caller's hands.
+          boost::system::error_code ignored;
+          self->socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+          self->read();
+        });
+  }
+
+  LineDoor* door_;  // none once closed
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, kReadSize> part_{};
+  std::string line_, text_;
+  std::optional<core::Deadlines::Key> limit_;
+  bool answered_ = false;
+};
+
+LineDoor::LineDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Answer answer,
+                   const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
+                   Limits limits)
+    : io_(io),
+      acceptor_(io, address, /*reuse_addr=*/true),
+      answer_(std::move(answer)),
+      clock_(clock),
+      deadlines_(deadlines),
+      counters_(counters),
+      limits_(limits) {
+  accept();
+}
+
+LineDoor::~LineDoor() {
+  deadlines_.cancel(pause_);
+  while (!calls_.empty()) calls_.front()->shut();
+}
+
+void LineDoor::accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      pause_ = deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] {
+        pause_.reset();
+        accept();
+      });
+      return;
+    }
+    // Callers that never finish hold up nobody: the first of them goes.
+    if (calls_.size() >= limits_.connections) {
+      ++counters_["door.made_room"];
+      calls_.front()->shut();
+    }
+    calls_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
+    calls_.back()->start();
+    accept();
+  });
+}
+
+}  // namespace dahliastall::net
--- /dev/null
+++ b/src/net/line_door.h
@@ -0,0 +1,56 @@
+// A door for calls of one line: each connection carries one, gets one text, and is closed. Knows no call.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+
+namespace dahliastall::net {
+
+class LineDoor {
+ public:
+  struct Limits {
+    std::size_t connections = 32;  // at a time; beyond it the one that has been silent longest gives way
+    std::size_t lineBytes = 1024;
+    double callMs = 10'000;  // for the line to arrive, and for the answer to be taken
+  };
+  // The line without its end to the text that goes back. A line over the limit is handed over cut, one byte
+  // longer than the limit, so that whoever answers can say so.
+  using Answer = std::function<std::string(std::string_view line)>;
+
+  // Throws boost::system::system_error if the address cannot be listened on.
+  LineDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Answer answer,
+           const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters, Limits limits);
+  LineDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Answer answer,
+           const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters)
+      : LineDoor(io, address, std::move(answer), clock, deadlines, counters, Limits{}) {}
+  ~LineDoor();
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  std::size_t size() const { return calls_.size(); }
+
+ private:
+  class Caller;
+
+  void accept();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Answer answer_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  Limits limits_;
+  std::list<std::shared_ptr<Caller>> calls_;  // in the order they came
+  std::optional<core::Deadlines::Key> pause_;
+};
+
+}  // namespace dahliastall::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "core/clock.h"
@@ -16,22 +17,46 @@
 
 class Listener final : public ClientConnection::Owner {
  public:
+  struct Options {
+    bool sharedPort = false;  // another process may listen on the same address at the same time
+    bool open = true;         // at once; else open() does it, and until then nobody can connect
+  };
+
   // Throws boost::system::system_error if the address cannot be listened on.
   Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t cap,
            RequestHandler& handler, const core::Clock& clock, core::Deadlines& deadlines,
-           core::Counters& counters);
+           core::Counters& counters, Options options);
+  Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t cap,
+           RequestHandler& handler, const core::Clock& clock, core::Deadlines& deadlines,
+           core::Counters& counters)
+      : Listener(io, address, cap, handler, clock, deadlines, counters, Options{}) {}
+
+  void open();
+  bool isOpen() const { return opened_ && !doorClosed_; }
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  // Sends clients away and takes them back. Who still connects is served; every connection closes after its
+  // answer, and the idle ones once the front layer has stopped sending.
+  void evacuate();
+  void activate();
+  bool evacuated() const { return evacuated_; }
+
+  // Another cap from now on; idle connections above it make room, open requests end first.
+  void capAt(std::size_t cap);
+
   // Goes on accepting and serving for so long, then closes; done is called when all clients are gone.
   void drain(double doorOpenMs, std::function<void()> done);
 
   void closed(const std::shared_ptr<ClientConnection>& connection) override;
-  bool draining() const override { return doorClosed_; }
+  bool draining() const override { return doorClosed_ || evacuated_; }
   std::size_t size() const { return connections_.size(); }
 
  private:
   void accept();
+  void admit(boost::asio::ip::tcp::socket socket);
+  void emptyQueue();
+  void sweepIdle();
   void makeRoom();
   void closeDoor();
   void finishIfDone();
@@ -45,7 +70,8 @@
   core::Counters& counters_;
   std::set<std::shared_ptr<ClientConnection>> connections_;
   std::function<void()> done_;
-  bool accepting_ = false, draining_ = false, doorClosed_ = false;
+  std::optional<core::Deadlines::Key> sweep_;
+  bool opened_ = false, accepting_ = false, draining_ = false, doorClosed_ = false, evacuated_ = false;
 };
 
 }  // namespace dahliastall::net
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -294,6 +294,12 @@
     if (link->to == to) close(link);
 }
 
+void Pool::capAt(std::size_t connections) {
+  limits_.connections = connections;
+  while (open_ > connections && !idle_.empty()) close(idle_.front());
+  serveWaiting();
+}
+
 // Later, not from within whoever gave a connection back.
 void Pool::serveWaiting() {
   if (serving_ || waiting_.empty()) return;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -117,6 +117,8 @@
                              std::shared_ptr<CallSink> sink);
   void dropIdle(const Endpoint& to);
   void dialWithin(double ms) { limits_.dialMs = ms; }
+  // Another cap from now on; idle connections above it close, busy ones end first.
+  void capAt(std::size_t connections);
   bool hasIdle(const Endpoint& to) const;
   std::size_t size() const { return open_; }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,6 +1,5 @@
-// Every decision of the router. The interface is include/leverrelay/router.h; nothing else decides.
-// A request moves waiting -> reading -> read -> writing -> streaming -> over. Every send passes
-// sendTo(), every ending passes finish(): each of the five rules is enforced in one of the two.
+// Every decision of the router. A request moves waiting -> reading -> read -> writing -> streaming -> over.
+// Every send passes sendTo(), every ending finish(): each of the five rules is enforced in one of the two.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -103,8 +102,7 @@
   return hash ^ hash >> 33;
 }
 
-// What passed of late, forgotten exponentially.
-class Flow {
+class Flow {  // what passed of late, forgotten exponentially
  public:
   double at(Time now, Duration memory) const { return sum_ * std::exp(-ratio(now - last_, memory)); }
   void add(double amount, Time now, Duration memory) {
@@ -207,6 +205,12 @@
     keepPulse();
   }
 
+  bool avoids(Time now, const EngineId& id) {
+    now_ = now;
+    const auto it = engines_.find(id);
+    return it != engines_.end() && listed(it->second) && (it->second.ejected || silent(it->second));
+  }
+
  private:
   // ---- 2 Fleet view --------------------------------------------------------------------------------
 
@@ -234,9 +238,9 @@
     return age >= 1 ? 1 : std::max(set_.contract.coldFrom, age);
   }
 
-  // Guards rule four. This node's part of the contract's budget, by what an engine of its weight usually gets
-  // from it: the other nodes' part is left to them. By the whole role, as all peers may be cold. A draw at
-  // the start (see take) spreads the first sends of many nodes, whose parts are under one.
+  // Guards rule four: this node's part of the budget, by what an engine of its weight usually gets from it
+  // and by the whole role, as all peers may be cold. A draw at the start (see take) spreads many nodes' first
+  // sends.
   bool coldAllows(Engine& e) {
     if (warmShare(e) >= 1) return true;
     const double window = ratio(set_.contract.fallFor, seconds(1));
@@ -280,8 +284,7 @@
     say("using " + e.info.engine.value + " again");
   }
 
-  // By the best in use: where all fail alike, leaving one out gains nothing. A mean is ruled by fast
-  // failures.
+  // By the best in use: where all fail alike, leaving one out gains nothing; fast failures rule a mean.
   double failsAllowed(const Engine& e) const {
     double best = 1;
     for (const auto& [id, x] : engines_)
@@ -669,7 +672,7 @@
     if (!anotherFor(r, *a.engine)) return;
     a.calledOff = true;
     noteBad(*a.engine, "silent", false);
-    emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
+    emit(Cancel{r.told.request, lastAttempt(r)});
   }
 
   bool mayHaveRun(const Request& r) const {
@@ -677,9 +680,10 @@
                        [](const Attempt& a) { return a.writes && !a.harmless; });
   }
 
-  bool attemptOut(const Request& r) const {
-    return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.out; });
-  }
+  int lastAttempt(const Request& r) const { return static_cast<int>(r.attempts.size()) - 1; }
+
+  // sendTo() lets none out before the one ahead of it has ended.
+  bool attemptOut(const Request& r) const { return !r.attempts.empty() && r.attempts.back().out; }
 
   static bool sameGroup(const ListEntry& a, const ListEntry& b, Group group) {
     return group == Group::kAll || (group == Group::kZone ? a.zone == b.zone : a.cell == b.cell);
@@ -747,9 +751,7 @@
   }
 
   void callOff(const Request& r) {
-    if (!set_.limits.cancel) return;
-    for (std::size_t i = 0; i < r.attempts.size(); ++i)
-      if (r.attempts[i].out) emit(Cancel{r.told.request, static_cast<int>(i)});
+    if (set_.limits.cancel && attemptOut(r)) emit(Cancel{r.told.request, lastAttempt(r)});
   }
 
   // The one gate for endings: one final answer, nothing after it, nothing left out or held.
@@ -1034,22 +1036,20 @@
   Settings set_;
   std::optional<std::string> problem_;
   std::string salt_;
-  double readRate_ = 0;  // unread tokens a microsecond where nothing waits
-  Average kept_[2];      // share of a prompt found kept: elsewhere, at its home
-  Average answer_[3];    // by role, microseconds to the end of a read or the first token
+  Average kept_[2];    // share of a prompt found kept: elsewhere, at its home
+  Average answer_[3];  // by role, microseconds to the end of a read or the first token
   std::map<EngineId, Engine> engines_;
   std::map<CellIndex, Cell> cells_;
-  std::map<std::string, Flow> keyFlow_;  // arrivals of a key
-  double held_ = 0, streams_ = 0;        // tokens of all own answers, and how many
+  std::map<std::string, Flow> keyFlow_;                    // arrivals of a key
+  double readRate_ = 0;                                    // unread tokens a microsecond where nothing waits
+  double held_ = 0, streams_ = 0, retries_ = kRetryBurst;  // own answers' tokens, and how many; spare retries
   std::mt19937_64 random_;
   Flow arrivals_, sends_[3];                       // sends by role
   std::array<double, 3> weight_{}, mostWeight_{};  // listed, and the most ever listed, by role
   std::map<RequestId, Request> requests_;
-  double retries_ = kRetryBurst;
   std::optional<Time> askAgainAt_, stopsAt_;
   Duration grace_{};
-  std::size_t mostStreams_ = 0;  // seen since they began to move
-  std::uint64_t alarms_ = 0;
+  std::uint64_t alarms_ = 0, mostStreams_ = 0;  // seen since they began to move
   bool pulseSet_ = false, started_ = false;
   Time now_{}, lastRead_{};
   std::vector<Action>* act_ = nullptr;
@@ -1062,6 +1062,7 @@
 Router& Router::operator=(Router&&) noexcept = default;
 
 void Router::reconfigure(const Settings& settings) { impl_->reconfigure(settings); }
+bool Router::avoids(Time now, const EngineId& engine) const { return impl_->avoids(now, engine); }
 void Router::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -291,6 +291,12 @@
       if (name.rfind("attempts.", 0) == 0 && name != "attempts.sent") ends += value;
     EXPECT_EQ(ends, play.counters["attempts.sent"]);
     EXPECT_EQ(play.conductor.open(), 0U);
+    const ClassFigures& figures = play.conductor.figures().byClass()[0];
+    EXPECT_EQ(figures.taken, clients.size());
+    EXPECT_EQ(figures.taken, figures.ok + figures.shed + figures.errors + figures.abandoned);
+    EXPECT_EQ(figures.ok, play.counters["requests.served"]);
+    EXPECT_EQ(figures.shed, play.counters["requests.refused"]);
+    EXPECT_EQ(figures.abandoned, play.counters["requests.client_gone"]);
     for (const auto& [id, client] : clients) {
       const auto gone = goneWith.find(id);
       EXPECT_EQ(client->finals(), gone == goneWith.end() ? 1 : gone->second) << id;
--- /dev/null
+++ b/tests/ops_test.cpp
@@ -0,0 +1,467 @@
+// What operators use: marks and the effective membership, their calls and the door, figures, evacuation, and
+// the folder that two processes of one conductor share.
+#include <gtest/gtest.h>
+#include <sys/file.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+
+#include "app/operations.h"
+#include "fleet.h"
+#include "fleet/membership.h"
+#include "net/line_door.h"
+#include "support/stage.h"
+
+namespace dahliastall {
+namespace {
+
+using namespace leverrelay;
+using fleet::Marks;
+using fleet::Membership;
+
+// ---- Marks -----------------------------------------------------------------------------------------
+
+// Whoever hears what in whatever order and however often: in the end all say the same, and the last word
+// counts.
+TEST(MarksOfOperators, MergeToTheSameInWhateverOrder) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937 random(seed);
+    std::vector<Marks> writers(3);
+    std::vector<Marks> said;
+    for (int step = 0; step < 60; ++step) {
+      const std::size_t who = random() % writers.size();
+      writers[who].set(numbered("i", static_cast<int>(random() % 5)), random() % 2 == 0, who, step);
+      said.push_back(writers[who]);
+      if (random() % 3 == 0) writers[random() % writers.size()].merge(said[random() % said.size()]);
+    }
+    Marks forwards, backwards;
+    for (const Marks& marks : said) forwards.merge(marks);
+    for (auto it = said.rbegin(); it != said.rend(); ++it) backwards.merge(*it);
+    EXPECT_EQ(forwards, backwards);
+    EXPECT_TRUE(forwards.merge(backwards).empty());
+    EXPECT_EQ(Marks::parse(forwards.text()), forwards);
+  }
+}
+
+TEST(MarksOfOperators, ADamagedOrForeignTextIsNoMarks) {
+  Marks marks;
+  marks.set("a", true, 1, 5);
+  marks.set("b", false, 1, 6);
+  const std::string text = marks.text();
+  for (std::size_t cut = 0; cut + 2 < text.size(); ++cut) EXPECT_FALSE(Marks::parse(text.substr(0, cut)));
+  for (const char* other : {"{}", "[]", "null", R"({"form":"dahliastall-marks-2","marks":[]})",
+                            R"({"form":"dahliastall-marks-1","marks":[{"id":"a"}]})",
+                            R"({"form":"dahliastall-marks-1","marks":{}})"})
+    EXPECT_FALSE(Marks::parse(other)) << other;
+}
+
+TEST(MarksOfOperators, ATableThatIsFullTakesNoMoreAndKeepsWhatItHas) {
+  Marks marks;
+  for (std::size_t i = 0; i < Marks::kMost; ++i)
+    ASSERT_TRUE(marks.set(numbered("i", static_cast<int>(i)), true, 1, 0));
+  EXPECT_FALSE(marks.set("one more", true, 1, 0));
+  EXPECT_TRUE(marks.set("i7", false, 1, 0));
+  EXPECT_EQ(marks.size(), Marks::kMost);
+}
+
+// ---- Membership ------------------------------------------------------------------------------------
+
+Presence presenceIn(const std::optional<ListNews>& news, const std::string& id) {
+  if (news)
+    for (const ListEntry& entry : news->entries)
+      if (entry.engine.value == id) return entry.presence;
+  ADD_FAILURE() << id << " is not in the news";
+  return Presence::kGone;
+}
+
+ListNews listOf(ListForm form, std::vector<ListEntry> entries) { return {1, form, std::move(entries)}; }
+
+TEST(EffectiveMembership, AnExcludedInstanceLeavesWhateverDiscoverySays) {
+  Membership members(1);
+  members.told(listOf(ListForm::kFull, {engine("a", kReader), engine("b", kWriter)}), 0);
+  const auto out = members.exclude("a", 10);
+  EXPECT_EQ(out.verdict, Membership::Verdict::kDone);
+  EXPECT_EQ(presenceIn(out.news, "a"), Presence::kLeaving);
+  // Restarted, announced anew, listed anew: still out.
+  ListEntry restarted = engine("a", kReader);
+  restarted.started = core::toModuleTime(50);
+  EXPECT_EQ(presenceIn(members.told(listOf(ListForm::kChanges, {restarted}), 60), "a"), Presence::kLeaving);
+  EXPECT_EQ(presenceIn(members.told(listOf(ListForm::kFull, {restarted, engine("b", kWriter)}), 70), "a"),
+            Presence::kLeaving);
+  EXPECT_EQ(presenceIn(members.told(listOf(ListForm::kFull, {restarted, engine("b", kWriter)}), 70), "b"),
+            Presence::kActive);
+}
+
+TEST(EffectiveMembership, TwoCallsOutNeedOneCallBackAndItComesBackCold) {
+  Membership members(1);
+  members.told(listOf(ListForm::kFull, {engine("a", kReader)}), 0);
+  members.exclude("a", 10);
+  const auto again = members.exclude("a", 20);
+  EXPECT_EQ(again.verdict, Membership::Verdict::kDone);
+  EXPECT_FALSE(again.news);
+  const auto back = members.include("a", 30);
+  ASSERT_EQ(presenceIn(back.news, "a"), Presence::kActive);
+  EXPECT_EQ(back.news->entries[0].started, core::toModuleTime(30));
+  // Whatever the list says of its start later does not make it warm; a later start counts.
+  const auto later = members.told(listOf(ListForm::kChanges, {engine("a", kReader)}), 40);
+  EXPECT_EQ(later.entries[0].started, core::toModuleTime(30));
+  // Included once more, it stays as warm as it has become.
+  EXPECT_FALSE(members.include("a", 5000).news);
+}
+
+TEST(EffectiveMembership, AnIdThatNobodyHasIsUnknownAndChangesNothing) {
+  Membership members(1);
+  members.told(listOf(ListForm::kFull, {engine("a", kReader)}), 0);
+  for (const std::string& id : {std::string("nobody"), std::string(), std::string(1000, 'x')}) {
+    EXPECT_EQ(members.exclude(id, 1).verdict, Membership::Verdict::kUnknown);
+    EXPECT_EQ(members.include(id, 1).verdict, Membership::Verdict::kUnknown);
+  }
+  EXPECT_EQ(members.marks().size(), 0U);
+}
+
+TEST(EffectiveMembership, AnInstanceUnderRepairMayBeOffTheListButNotForGood) {
+  Membership members(1);
+  members.told(listOf(ListForm::kFull, {engine("a", kReader), engine("b", kReader)}), 0);
+  members.exclude("a", 0);
+  members.told(listOf(ListForm::kFull, {engine("b", kReader)}), 1000);
+  EXPECT_EQ(members.exclude("a", 1500).verdict, Membership::Verdict::kDone);
+  EXPECT_EQ(presenceIn(members.told(listOf(ListForm::kChanges, {engine("a", kReader)}), 2000), "a"),
+            Presence::kLeaving);
+  members.told(listOf(ListForm::kFull, {engine("b", kReader)}), 3000);
+  for (double now = 3000; now < 3 * 3'600'000; now += 60'000) members.tidy(now);
+  EXPECT_EQ(members.marks().size(), 0U);
+}
+
+TEST(EffectiveMembership, WhatAnotherProcessWasToldHoldsHereToo) {
+  Membership one(1), two(2);
+  for (Membership* members : {&one, &two}) members->told(listOf(ListForm::kFull, {engine("a", kReader)}), 0);
+  one.exclude("a", 10);
+  EXPECT_EQ(presenceIn(two.merge(one.marks()), "a"), Presence::kLeaving);
+  EXPECT_FALSE(two.merge(one.marks()));
+  const auto back = two.include("a", 20);
+  EXPECT_EQ(presenceIn(back.news, "a"), Presence::kActive);
+  const auto news = one.merge(two.marks());
+  EXPECT_EQ(presenceIn(news, "a"), Presence::kActive);
+  EXPECT_EQ(news->entries[0].started, core::toModuleTime(20));
+}
+
+// ---- Calls -----------------------------------------------------------------------------------------
+
+struct Played final : control::Service {
+  std::vector<std::string> calls;
+  core::Figures counted;
+  std::vector<std::string> names{"ask", "odd \"one\"\\"};
+  Done note(const std::string& call) {
+    calls.push_back(call);
+    return {true, {}};
+  }
+  Done ready() override { return note("ready"); }
+  Done exclude(const std::string& id) override { return note("exclude " + id); }
+  Done include(const std::string& id) override { return note("include " + id); }
+  Done evacuate() override { return note("evacuate"); }
+  Done activate() override { return note("activate"); }
+  const core::Figures& figures() override { return counted; }
+  std::size_t open() override { return 3; }
+  Pool pool() override { return {5, 2}; }
+  const std::vector<std::string>& classes() override { return names; }
+};
+
+TEST(OperatorsCalls, EachDoesWhatItSays) {
+  Played played;
+  for (const char* call : {"readyz", "exclude s-1", "  include\ts-1 ", "evacuate", "activate"})
+    EXPECT_EQ(control::answer(played, call), "ok\n") << call;
+  const std::vector<std::string> expected{"ready", "exclude s-1", "include s-1", "evacuate", "activate"};
+  EXPECT_EQ(played.calls, expected);
+}
+
+TEST(OperatorsCalls, WhatIsNotUnderstoodFailsWithAReasonAndChangesNothing) {
+  Played played;
+  for (const std::string& call :
+       {std::string(), std::string("  "), std::string("exclude"), std::string("exclude a b"),
+        std::string("EXCLUDE a"), std::string("readyz now"), std::string("reboot"),
+        std::string("exclude a\x01"), std::string("exclude \0", 9), "exclude " + std::string(2000, 'a')}) {
+    const std::string answer = control::answer(played, call);
+    EXPECT_EQ(answer.rfind("fail ", 0), 0U) << call;
+    EXPECT_EQ(answer.find('\n'), answer.size() - 1);
+    EXPECT_GT(answer.size(), 10U);
+  }
+  EXPECT_TRUE(played.calls.empty());
+}
+
+TEST(OperatorsCalls, TelemetryNamesEveryFigureOfEveryClassAndEnds) {
+  Played played;
+  played.counted.classes(2);
+  for (int i = 0; i < 4; ++i) played.counted.taken(0);
+  played.counted.ended(0, core::Ending::kOk);
+  played.counted.ended(0, core::Ending::kShed);
+  played.counted.ended(0, core::Ending::kError);
+  played.counted.tried(0);
+  const std::string text = control::answer(played, "telemetry");
+  for (const char* line : {"app_ok_total{kind=\"ask\"} 1\n", "app_shed_total{kind=\"ask\"} 1\n",
+                           "app_errors_total{kind=\"ask\"} 1\n", "app_tries_total{kind=\"ask\"} 1\n",
+                           "app_ok_total{kind=\"odd \\\"one\\\"\\\\\"} 0\n", "app_active 3\n",
+                           "app_pool_size 5\n", "app_pool_ejected 2\n"})
+    EXPECT_NE(text.find(line), std::string::npos) << line << text;
+  EXPECT_EQ(text.substr(text.size() - 5), "\neof\n");
+}
+
+// ---- The door --------------------------------------------------------------------------------------
+
+struct Door : Stage {
+  std::vector<std::string> lines;
+  net::LineDoor door{io,
+                     anyPort(),
+                     [this](std::string_view line) {
+                       lines.emplace_back(line);
+                       return "ok " + std::to_string(line.size()) + "\n";
+                     },
+                     clock,
+                     deadlines,
+                     counters,
+                     {4, 64, 5'000}};
+  std::string answerTo(RawPeer& peer) {
+    EXPECT_TRUE(until([&] { return peer.ended(); }));
+    return peer.seen;
+  }
+};
+
+TEST(LineDoor, TakesALineThatComesByteByByteOrWithItsEndMissing) {
+  for (const std::string& sent :
+       {std::string("readyz\n"), std::string("readyz\r\n"), std::string("readyz\nmore\n")}) {
+    Door stage;
+    RawPeer peer(stage.io);
+    peer.connect(stage.door.address());
+    for (const char c : sent) {
+      peer.write(std::string(1, c));
+      stage.io.poll();
+    }
+    EXPECT_EQ(stage.answerTo(peer), "ok 6\n");
+    EXPECT_EQ(stage.lines, std::vector<std::string>{"readyz"});
+  }
+}
+
+TEST(LineDoor, AnOverlongLineIsHandedOverCutAndNotKeptWaitingFor) {
+  Door stage;
+  RawPeer peer(stage.io);
+  peer.connect(stage.door.address());
+  peer.write(std::string(1000, 'x'));
+  EXPECT_EQ(stage.answerTo(peer), "ok 65\n");
+}
+
+// Callers who never finish cost one place each, the oldest of them first; nobody waits behind them.
+TEST(LineDoor, SilentCallersHoldUpNobodyAndAreClosedInTime) {
+  Door stage;
+  std::vector<std::unique_ptr<RawPeer>> silent;
+  for (int i = 0; i < 12; ++i) {
+    silent.push_back(std::make_unique<RawPeer>(stage.io));
+    silent.back()->connect(stage.door.address());
+    if (i % 2 == 0) silent.back()->write("read");
+  }
+  RawPeer caller(stage.io);
+  caller.connect(stage.door.address());
+  caller.write("readyz\n");
+  EXPECT_EQ(stage.answerTo(caller), "ok 6\n");
+  EXPECT_LE(stage.door.size(), 4U);
+  stage.pass(5'001);
+  for (auto& peer : silent) EXPECT_TRUE(stage.until([&] { return peer->ended(); }));
+  EXPECT_EQ(stage.door.size(), 0U);
+}
+
+// ---- Evacuation ------------------------------------------------------------------------------------
+
+struct Clients final : Stage, net::RequestHandler {
+  net::Listener listener{io, anyPort(), 10, *this, clock, deadlines, counters};
+  std::vector<std::shared_ptr<net::ClientConnection>> asked;
+  void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&&,
+               double) override {
+    asked.push_back(connection);
+  }
+  void gone(net::ClientConnection&) override {}
+  void drained(net::ClientConnection&) override {}
+  void reject(net::ClientConnection&, unsigned, std::string_view) override {}
+};
+
+const std::string kAsk = "POST /v1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi";
+
+TEST(Evacuation, ServesWhoStillComesClosesWhoIsIdleAndTakesClientsBack) {
+  Clients stage;
+  RawPeer idle(stage.io), running(stage.io), late(stage.io);
+  for (RawPeer* peer : {&idle, &running}) {
+    peer->connect(stage.listener.address());
+    peer->write(kAsk);
+    const std::size_t before = stage.asked.size();
+    ASSERT_TRUE(stage.until([&] { return stage.asked.size() > before; }));
+  }
+  stage.asked[0]->answer(200, {}, "one");
+  stage.asked[1]->beginStream({});
+  ASSERT_TRUE(stage.until([&] { return stage.asked[0]->state() == net::ClientConnection::State::kIdle; }));
+  stage.listener.evacuate();
+  stage.listener.evacuate();
+  stage.pass(200);
+  late.connect(stage.listener.address());
+  late.write(kAsk);
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 3; }));
+  EXPECT_FALSE(idle.ended());
+  stage.asked[2]->answer(200, {}, "late");
+  ASSERT_TRUE(stage.until([&] { return late.ended(); }));
+  EXPECT_NE(late.seen.find("Connection: close"), std::string::npos);
+  EXPECT_NE(late.seen.find("late"), std::string::npos);
+  stage.pass(250);
+  ASSERT_TRUE(stage.until([&] { return idle.ended(); }));
+  EXPECT_FALSE(running.ended());
+  stage.asked[1]->pass("events");
+  stage.asked[1]->endStream();
+  ASSERT_TRUE(stage.until([&] { return running.ended(); }));
+  EXPECT_NE(running.seen.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(stage.listener.size(), 0U);
+
+  stage.listener.activate();
+  RawPeer back(stage.io);
+  back.connect(stage.listener.address());
+  back.write(kAsk);
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 4; }));
+  stage.asked[3]->answer(200, {}, "back");
+  stage.pass(1'000);
+  stage.io.poll();
+  EXPECT_FALSE(back.ended());
+  EXPECT_EQ(back.seen.find("Connection: close"), std::string::npos);
+}
+
+// A request that is in the kernel already must be read, not reset by the close of an idle connection.
+TEST(Evacuation, ARequestThatCrossesTheCloseIsServed) {
+  Clients stage;
+  RawPeer peer(stage.io);
+  peer.connect(stage.listener.address());
+  peer.write(kAsk);
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 1; }));
+  stage.asked[0]->answer(200, {}, "one");
+  ASSERT_TRUE(stage.until([&] { return stage.asked[0]->state() == net::ClientConnection::State::kIdle; }));
+  stage.listener.evacuate();
+  peer.write(kAsk);
+  stage.pass(401);  // before the loop has read it
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 2; }));
+  stage.asked[1]->answer(200, {}, "two");
+  ASSERT_TRUE(stage.until([&] { return peer.ended(); }));
+  EXPECT_NE(peer.seen.find("two"), std::string::npos);
+}
+
+// ---- A door that closes for a successor --------------------------------------------------------------
+
+TEST(Successor, WhoStandsInTheAcceptQueueIsServedWhenTheDoorCloses) {
+  Clients stage;
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  for (int i = 0; i < 5; ++i) {
+    peers.push_back(std::make_unique<RawPeer>(stage.io));
+    peers.back()->connect(stage.listener.address());  // by the kernel alone: the loop does not run
+    peers.back()->write(kAsk);
+  }
+  bool done = false;
+  stage.listener.drain(0, [&] { done = true; });
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 5; }));
+  for (const auto& connection : stage.asked) connection->answer(200, {}, "served");
+  for (auto& peer : peers) {
+    ASSERT_TRUE(stage.until([&] { return peer->ended(); }));
+    EXPECT_NE(peer->seen.find("served"), std::string::npos);
+  }
+  EXPECT_TRUE(stage.until([&] { return done; }));
+}
+
+TEST(Successor, TwoListenersShareAPortAndOneWithoutLeaveIsRefused) {
+  Clients stage;
+  net::Listener first(stage.io, anyPort(), 10, stage, stage.clock, stage.deadlines, stage.counters,
+                      {.sharedPort = true, .open = true});
+  net::Listener second(stage.io, first.address(), 10, stage, stage.clock, stage.deadlines, stage.counters,
+                       {.sharedPort = true, .open = false});
+  EXPECT_FALSE(second.isOpen());
+  second.open();
+  EXPECT_TRUE(second.isOpen());
+  EXPECT_THROW(
+      net::Listener(stage.io, first.address(), 10, stage, stage.clock, stage.deadlines, stage.counters),
+      boost::system::system_error);
+}
+
+// ---- The shared folder -------------------------------------------------------------------------------
+
+struct Folder {
+  Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "dahliastall-ops-XXXXXX").string();
+    path = ::mkdtemp(name.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+TEST(SharedFolder, AKilledProcessIsKnownToBeGoneAndItsFileGoes) {
+  Folder folder;
+  app::SharedFolder own(folder.path, "n0");
+  ASSERT_TRUE(own.usable());
+  int started[2];
+  ASSERT_EQ(::pipe(started), 0);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    app::SharedFolder other(folder.path, "n0");
+    other.sayServing();
+    const char byte = other.usable() ? 'y' : 'n';
+    if (::write(started[1], &byte, 1) == 1) ::pause();
+    ::_exit(0);
+  }
+  char byte = 0;
+  ASSERT_EQ(::read(started[0], &byte, 1), 1);
+  EXPECT_EQ(byte, 'y');
+  EXPECT_EQ(own.others(), (app::SharedFolder::Others{1, 1}));
+  ::kill(child, SIGKILL);
+  ::waitpid(child, nullptr, 0);
+  EXPECT_EQ(own.others(), (app::SharedFolder::Others{0, 0}));
+  std::size_t files = 0;
+  for ([[maybe_unused]] const auto& entry : std::filesystem::directory_iterator(folder.path)) ++files;
+  EXPECT_EQ(files, 1U);
+  ::close(started[0]);
+  ::close(started[1]);
+}
+
+TEST(SharedFolder, TextsPassWholeAndAreFreshOnce) {
+  Folder folder;
+  app::SharedFolder one(folder.path, "n0");
+  EXPECT_FALSE(one.freshText());
+  ASSERT_TRUE(one.write("first"));
+  EXPECT_FALSE(one.freshText());  // its own
+  std::ofstream(folder.path + "/dahliastall-n0.marks.tmp") << "second";
+  std::filesystem::rename(folder.path + "/dahliastall-n0.marks.tmp", folder.path + "/dahliastall-n0.marks");
+  EXPECT_EQ(one.freshText(), "second");
+  EXPECT_FALSE(one.freshText());
+  app::SharedFolder nowhere(folder.path + "/missing", "n0");
+  EXPECT_FALSE(nowhere.usable());
+  EXPECT_FALSE(nowhere.write("x"));
+}
+
+// ---- Figures -----------------------------------------------------------------------------------------
+
+TEST(Figures, AddUpWhateverHappens) {
+  std::mt19937 random(3);
+  core::Figures figures;
+  figures.classes(2);
+  std::array<int, 2> open{};
+  for (int step = 0; step < 5000; ++step) {
+    const std::size_t cls = random() % 3;  // also one that is not there
+    if (random() % 2 == 0) {
+      figures.taken(cls);
+      if (cls < 2) ++open[cls];
+    } else if (cls >= 2 || open[cls] > 0) {
+      figures.ended(cls, static_cast<core::Ending>(random() % 4));
+      if (cls < 2) --open[cls];
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+      const core::ClassFigures& f = figures.byClass()[i];
+      ASSERT_EQ(f.taken, f.ok + f.shed + f.errors + f.abandoned + f.open);
+      ASSERT_EQ(f.open, static_cast<std::uint64_t>(open[i]));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dahliastall
