--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -243,8 +243,13 @@
   Duration grace;
 };  // this node ends, and is killed no sooner than this from now
 
+struct StreamAdopted {
+  Arrival told;
+  EngineId engine;
+};  // a stream that another process of this node began; its attempt is number 0
+
 using Event = std::variant<ListNews, Arrival, StreamOpened, AttemptEnded, PlaceNote, ProbeEnded, PeerMessage,
-                           AlarmRang, Lapsed, Stopping>;
+                           AlarmRang, Lapsed, Stopping, StreamAdopted>;
 
 // ---- Actions -------------------------------------------------------------------------------------
 
--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -101,6 +101,7 @@
                replaced ? "another process serves what arrives" : "serving what still arrives");
   if (ending_.graceMs) conductor.stopping(*ending_.graceMs);
   listener_->drain(replaced ? 0 : ending_.doorOpenMs, [this] { finish(); });
+  if (replaced) ending_.handOver();
 }
 
 // Also while the program drains: what it has taken still needs the list. A file that cannot be read or used
@@ -153,11 +154,11 @@
 }  // namespace
 
 Engine::Ending platformEnding(const leverrelay::Settings& settings) {
-  if (!settings.resume) return {kDoorOpenMs, std::nullopt, {}};
+  if (!settings.resume) return {kDoorOpenMs, std::nullopt, {}, {}};
   double longest = 0;
   for (const auto& cls : settings.classes) longest = std::max(longest, core::toMs(cls.deadline));
   const double grace = std::min(longest, kLongestDeadlineMs) + kBeyondDeadlineMs;
-  return {std::max(kDoorOpenMs, grace * kDoorShare), grace, {}};
+  return {std::max(kDoorOpenMs, grace * kDoorShare), grace, {}, {}};
 }
 
 void serve(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread) {
@@ -175,13 +176,15 @@
                          engine.deadlines, engine.counters,
                          {.sharedPort = config.admin.has_value(), .open = false});
   front.readyWhen([&listener] { return !listener.evacuated(); });
-  Operations operations({engine, listener, config.setup, config.limits, [&] { return discovery.spoken(); }},
-                        folderFor(config));
+  Operations operations(
+      {engine, listener, config.setup, config.limits, [&] { return discovery.spoken(); }, front},
+      folderFor(config));
   const auto door = doorFor(config.admin, operations, engine);
   sayListening(config.name, listener);
   operations.start();
   Engine::Ending ending = platformEnding(config.setup.settings);
   ending.successor = [&operations] { return operations.hasSuccessor(); };
+  ending.handOver = [&operations] { operations.handOver(); };
   // $GW_DISCOVERY holds what counted at the start: only a change within the file says that it has moved.
   engine.run(listener, ending, [&, inFile = config.discoveryInFile]() mutable {
     const Config fresh = reread();
@@ -231,11 +234,11 @@
   net::Listener listener(engine.io, site.listen, limits.clients(), front, engine.clock, engine.deadlines,
                          engine.counters, {.sharedPort = false, .open = false});
   front.readyWhen([&listener] { return !listener.evacuated(); });
-  Operations operations({engine, listener, site.setup, limits, [] { return true; }}, nullptr);
+  Operations operations({engine, listener, site.setup, limits, [] { return true; }, front}, nullptr);
   const auto door = doorFor(site.admin, operations, engine);
   sayListening("chat API", listener);
   operations.start();
-  engine.run(listener, {kDoorOpenMs, std::nullopt, {}}, [&] {
+  engine.run(listener, {kDoorOpenMs, std::nullopt, {}, {}}, [&] {
     takeOver(reread(), site, engine);
     spdlog::info("SIGHUP: {} boxes, {} models, {} keys", site.boxes.entries.size(), site.models.size(),
                  site.keys.size());
--- a/src/app/conductor_app.h
+++ b/src/app/conductor_app.h
@@ -29,6 +29,7 @@
     std::optional<double> graceMs;    // the process is killed no sooner than this after it; none: never
     std::function<bool()> successor;  // whether another process serves at the same address; then the door
                                       // closes at once
+    std::function<void()> handOver;   // and what is open goes to it
   };
 
   // Runs until SIGTERM or SIGINT has been followed by the end of all that was taken. Counters go to the log
--- /dev/null
+++ b/src/app/handover.cpp
@@ -0,0 +1,132 @@
+#include "app/handover.h"
+
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace dahliastall::app {
+
+using nlohmann::json;
+
+namespace {
+
+// A stream opens, or its last write ends, at any time: looked at so often, far below the grace.
+constexpr double kLookMs = 10;
+
+json binary(const std::string& bytes) { return json::binary({bytes.begin(), bytes.end()}); }
+
+std::string bytesOf(const json& value) {
+  const auto& bytes = value.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+}  // namespace
+
+std::string textOf(const HandedStream& stream) {
+  const leverrelay::Arrival& told = stream.arrival;
+  const json whole{
+      {"id", binary(told.request.value)},
+      {"class", told.cls.value},
+      {"tenant", told.tenant ? json(told.tenant->value) : json()},
+      {"session", binary(told.session)},
+      {"prefix", binary(told.prefix)},
+      {"prompt", told.promptTokens},
+      {"shared", told.prefixTokens},
+      {"most", told.maxTokens},
+      {"engine", binary(stream.engine.value)},
+      {"address", stream.address.address().to_string() + ":" + std::to_string(stream.address.port())},
+      {"unread", binary(stream.box.call.unread)},
+      {"chunk", stream.box.call.chunkLeft},
+      {"box_keeps", stream.box.call.keepAlive},
+      {"event", binary(stream.box.event)},
+      {"ahead", binary(stream.client.ahead)},
+      {"client_keeps", stream.client.keepAlive}};
+  const auto packed = json::to_msgpack(whole);
+  return {packed.begin(), packed.end()};
+}
+
+HandedStream handedStreamOf(const std::string& text) {
+  const json whole = json::from_msgpack(text);
+  HandedStream stream{};
+  stream.arrival.request = {bytesOf(whole.at("id"))};
+  stream.arrival.cls = {whole.at("class").get<std::uint32_t>()};
+  if (!whole.at("tenant").is_null())
+    stream.arrival.tenant = leverrelay::TenantIndex{whole.at("tenant").get<std::uint32_t>()};
+  stream.arrival.session = bytesOf(whole.at("session"));
+  stream.arrival.prefix = bytesOf(whole.at("prefix"));
+  stream.arrival.promptTokens = whole.at("prompt").get<double>();
+  stream.arrival.prefixTokens = whole.at("shared").get<double>();
+  stream.arrival.maxTokens = whole.at("most").get<double>();
+  stream.engine = {bytesOf(whole.at("engine"))};
+  stream.address = fronts::endpointOf(whole.at("address").get<std::string>());
+  stream.box.call.unread = bytesOf(whole.at("unread"));
+  stream.box.call.chunkLeft = whole.at("chunk").get<std::uint64_t>();
+  stream.box.call.keepAlive = whole.at("box_keeps").get<bool>();
+  stream.box.event = bytesOf(whole.at("event"));
+  stream.client.ahead = bytesOf(whole.at("ahead"));
+  stream.client.keepAlive = whole.at("client_keeps").get<bool>();
+  return stream;
+}
+
+Handover::~Handover() { engine_.deadlines.cancel(next_); }
+
+void Handover::begin(const std::string& folder, const std::string& name) {
+  if (to_) return;
+  to_ = std::make_unique<PassingSender>(folder, name);
+  if (!to_->isOpen()) spdlog::warn("the other process takes no streams: their clients will ask for the rest");
+  tick();
+}
+
+void Handover::tick() {
+  if (!to_->isOpen()) return;
+  for (const core::RequestKey key : engine_.conductor.streams()) {
+    const auto stream = engine_.conductor.streamOf(key);
+    if (stream) engine_.boxes.pause(stream->attempt, [this, key] { hand(key); });
+  }
+  next_ = engine_.deadlines.add(engine_.clock.nowMs() + kLookMs, [this] { tick(); });
+}
+
+// Called when nothing is being read from the box. Whatever stands in the way now, the stream goes on here and
+// is looked at again.
+void Handover::hand(core::RequestKey key) {
+  const auto stream = engine_.conductor.streamOf(key);
+  if (!stream) return;
+  const auto client = front_.connectionOf(key);
+  const auto rest = client ? client->rest() : std::nullopt;
+  const auto box = engine_.boxes.rest(stream->attempt);
+  const fronts::Box* known = engine_.directory.find(stream->engine);
+  if (!rest || !box || known == nullptr) return engine_.boxes.goOn(stream->attempt);
+  const std::string text = textOf({stream->arrival, stream->engine, known->address, *box, *rest});
+  const auto result = to_->send(text, {rest->descriptor, box->call.descriptor});
+  if (result != PassingSender::Result::kSent) return engine_.boxes.goOn(stream->attempt);
+  ++engine_.counters["streams.handed_over"];
+  engine_.boxes.leave(stream->attempt);
+  front_.leave(*client);
+  engine_.conductor.handedOver(key);
+}
+
+void Handover::take(Passed passed) {
+  if (passed.descriptors.size() != 2) return;
+  HandedStream stream{};
+  try {
+    stream = handedStreamOf(passed.bytes);
+  } catch (const std::exception& fault) {
+    spdlog::error("a stream that another process handed over cannot be read: {}", fault.what());
+    return;
+  }
+  stream.client.descriptor = passed.descriptors[0].take();
+  const auto client = listener_.adopt(stream.client);
+  if (!client) return;
+  const auto answerer = front_.adopted(client);
+  const auto taken =
+      answerer ? engine_.conductor.adopt(stream.arrival, stream.engine, answerer) : std::nullopt;
+  if (!taken) return client->breakOff();
+  ++engine_.counters["streams.taken_over"];
+  front_.adopt(*client, taken->request);
+  stream.box.call.descriptor = passed.descriptors[1].take();
+  if (!engine_.boxes.adopt(taken->attempt, stream.arrival.request, stream.engine, stream.address, stream.box))
+    engine_.conductor.ended(taken->attempt, {leverrelay::Outcome::kConnectionLost});
+}
+
+}  // namespace dahliastall::app
--- /dev/null
+++ b/src/app/handover.h
@@ -0,0 +1,46 @@
+// Hands the open streams of a process that ends to the one that replaces it, and takes them over there. Only
+// where both run beside each other on one machine.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "app/conductor_app.h"
+#include "app/passing.h"
+
+namespace dahliastall::app {
+
+// The text form of a stream without its descriptors, and back; throws on what is none.
+struct HandedStream {
+  leverrelay::Arrival arrival;
+  leverrelay::EngineId engine;
+  net::Endpoint address;
+  fronts::Boxes::Rest box;
+  net::ClientConnection::Rest client;
+};
+std::string textOf(const HandedStream& stream);
+HandedStream handedStreamOf(const std::string& text);
+
+class Handover {
+ public:
+  Handover(Engine& engine, fronts::Front& front, net::Listener& listener)
+      : engine_(engine), front_(front), listener_(listener) {}
+  ~Handover();
+
+  // From now on every stream that is open, or opens, goes to the process that receives under this name.
+  void begin(const std::string& folder, const std::string& name);
+  // A stream from another process. One that cannot be taken over breaks, and its client asks for the rest.
+  void take(Passed passed);
+
+ private:
+  void tick();
+  void hand(core::RequestKey key);
+
+  Engine& engine_;
+  fronts::Front& front_;
+  net::Listener& listener_;
+  std::unique_ptr<PassingSender> to_;
+  std::optional<core::Deadlines::Key> next_;
+};
+
+}  // namespace dahliastall::app
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -19,11 +19,18 @@
 }  // namespace
 
 Operations::Operations(Parts parts, std::unique_ptr<SharedFolder> folder)
-    : parts_(std::move(parts)), folder_(std::move(folder)), startedMs_(parts_.engine.clock.nowMs()) {
+    : parts_(std::move(parts)),
+      folder_(std::move(folder)),
+      handover_(parts_.engine, parts_.front, parts_.listener),
+      startedMs_(parts_.engine.clock.nowMs()) {
   if (folder_ && !folder_->usable()) {
     spdlog::warn("the shared folder cannot be used: exclusions hold in this process only");
     folder_ = nullptr;
   }
+  if (!folder_) return;
+  receiver_ = std::make_unique<PassingReceiver>(parts_.engine.io, folder_->folder(), folder_->receiver(),
+                                                [this](Passed passed) { handover_.take(std::move(passed)); });
+  if (!receiver_->isOpen()) spdlog::warn("streams of another process cannot be taken over");
 }
 
 Operations::~Operations() { parts_.engine.deadlines.cancel(next_); }
@@ -39,6 +46,11 @@
 
 bool Operations::hasSuccessor() { return folder_ && folder_->others().serving > 0; }
 
+void Operations::handOver() {
+  const SharedFolder::Others others = folder_ ? folder_->others() : SharedFolder::Others{};
+  if (others.serving > 0) handover_.begin(folder_->folder(), others.receiver);
+}
+
 void Operations::tick() {
   if (folder_) {
     share(folder_->others());
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -8,6 +8,7 @@
 
 #include "app/conductor_app.h"
 #include "app/config.h"
+#include "app/handover.h"
 #include "app/shared_folder.h"
 #include "control/commands.h"
 
@@ -21,6 +22,7 @@
     const leverrelay::wire::Setup& setup;
     Limits limits;
     std::function<bool()> spoken;  // whether the list is what discovery says now
+    fronts::Front& front;
   };
 
   // folder: none where this process is alone in any case.
@@ -31,6 +33,8 @@
   void start();
   // Whether another process serves at the same address, so that nothing is lost if this one closes its door.
   bool hasSuccessor();
+  // Streams that are open go to that process from now on.
+  void handOver();
 
   Done ready() override;
   Done exclude(const std::string& id) override;
@@ -54,6 +58,8 @@
 
   Parts parts_;
   std::unique_ptr<SharedFolder> folder_;
+  Handover handover_;
+  std::unique_ptr<PassingReceiver> receiver_;
   SharedFolder::Others others_;
   std::optional<core::Deadlines::Key> next_;
   double startedMs_;
--- /dev/null
+++ b/src/app/passing.h
@@ -0,0 +1,70 @@
+// Passes messages with descriptors from one process to another of the same user: a Unix socket that keeps
+// messages whole. Nothing here waits: what cannot be sent now is said to be so.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dahliastall::app {
+
+// A descriptor that is closed unless it is taken.
+class Descriptor {
+ public:
+  explicit Descriptor(int value = -1) : value_(value) {}
+  ~Descriptor();
+  Descriptor(Descriptor&& other) noexcept : value_(other.take()) {}
+  Descriptor& operator=(Descriptor&& other) noexcept;
+  int get() const { return value_; }
+  int take();
+  explicit operator bool() const { return value_ >= 0; }
+
+ private:
+  int value_;
+};
+
+struct Passed {
+  std::string bytes;
+  std::vector<Descriptor> descriptors;
+};
+
+class PassingReceiver {
+ public:
+  static constexpr std::size_t kLargest = 160 * 1024;  // under what a Unix socket takes at once
+  using Take = std::function<void(Passed)>;
+
+  // Not open if the folder cannot hold such a socket; then nobody can pass anything here.
+  PassingReceiver(boost::asio::io_context& io, std::string folder, const std::string& name, Take take);
+  ~PassingReceiver();
+  bool isOpen() const { return listener_.is_open(); }
+
+ private:
+  class Peer;
+  void accept();
+
+  boost::asio::io_context& io_;
+  std::string folder_, name_;
+  Take take_;
+  boost::asio::posix::stream_descriptor listener_;
+  std::list<std::shared_ptr<Peer>> peers_;
+};
+
+class PassingSender {
+ public:
+  PassingSender(const std::string& folder, const std::string& name);
+  bool isOpen() const { return static_cast<bool>(socket_); }
+
+  enum class Result { kSent, kFull, kBroken };
+  // The other process gets copies of the descriptors; they stay open here.
+  Result send(const std::string& bytes, const std::vector<int>& descriptors);
+
+ private:
+  Descriptor socket_;
+};
+
+}  // namespace dahliastall::app
--- a/src/app/shared_folder.cpp
+++ b/src/app/shared_folder.cpp
@@ -55,7 +55,9 @@
 SharedFolder::SharedFolder(std::string folder, const std::string& name)
     : folder_(std::move(folder)),
       prefix_("dahliastall-" + plainName(name) + ".process."),
+      receiverPrefix_("dahliastall-" + plainName(name) + ".receiver."),
       ownName_(prefix_ + std::to_string(::getpid())),
+      receiver_(receiverPrefix_ + std::to_string(::getpid())),
       marksPath_(folder_ + "/dahliastall-" + plainName(name) + ".marks") {
   const std::string unnamed =
       folder_ + "/dahliastall-" + plainName(name) + ".new." + std::to_string(::getpid());
@@ -86,11 +88,14 @@
     if (file.get() < 0) continue;
     if (::flock(file.get(), LOCK_EX | LOCK_NB) == 0) {  // its process has ended
       ::unlink(path.c_str());
+      ::unlink((folder_ + "/" + receiverPrefix_ + name.substr(prefix_.size())).c_str());
       continue;
     }
     ++found.alive;
     struct stat status {};
-    if (::fstat(file.get(), &status) == 0 && status.st_size > 0) ++found.serving;
+    if (::fstat(file.get(), &status) != 0 || status.st_size == 0) continue;
+    ++found.serving;
+    found.receiver = receiverPrefix_ + name.substr(prefix_.size());
   }
   return found;
 }
--- a/src/app/shared_folder.h
+++ b/src/app/shared_folder.h
@@ -22,11 +22,14 @@
 
   struct Others {
     std::size_t alive = 0, serving = 0;
+    std::string receiver;  // the name under which a serving one receives
     bool operator==(const Others&) const = default;
   };
   Others others();
 
   void sayServing();  // to the others
+  const std::string& folder() const { return folder_; }
+  const std::string& receiver() const { return receiver_; }  // this process's
 
   // The text of the file of marks, if it is there and is not what was read or written last.
   std::optional<std::string> freshText();
@@ -40,7 +43,7 @@
   };
   std::optional<Stamp> stampOf(int descriptor) const;
 
-  std::string folder_, prefix_, ownName_, marksPath_;
+  std::string folder_, prefix_, receiverPrefix_, ownName_, receiver_, marksPath_;
   int own_ = -1;
   std::optional<Stamp> seen_;
 };
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -69,6 +69,7 @@
   ++counters_["requests.taken"];
   Request request;
   request.id = arrival.request;
+  request.told = arrival;
   request.cls = arrival.cls.value;
   figures_.taken(request.cls);
   request.payload = std::move(payload);
@@ -209,6 +210,59 @@
   post(ProbeEnded{engine, toModule(tookMs), answered, std::nullopt});
 }
 
+// ---- Streams that pass to another process ----------------------------------------------------------
+
+std::vector<RequestKey> Conductor::streams() const {
+  std::vector<RequestKey> found;
+  for (const auto& [id, key] : byId_)
+    if (streamOf(key)) found.push_back(key);
+  return found;
+}
+
+std::optional<Conductor::Stream> Conductor::streamOf(RequestKey key) const {
+  const Request* r = requests_.find(key);
+  if (r == nullptr || !r->answerer || !r->streaming || r->out != 1) return std::nullopt;
+  const Attempt* a = attempts_.find(r->stream);
+  if (a == nullptr) return std::nullopt;
+  return Stream{key, r->stream, r->told, a->engine};
+}
+
+void Conductor::handedOver(RequestKey key) {
+  Request* r = requests_.find(key);
+  if (r == nullptr || !r->answerer) return;
+  const AttemptKey stream = r->stream;
+  conclude(*r, Ending::kHandedOver);
+  close(stream, {Outcome::kCancelled});
+}
+
+std::optional<Conductor::Stream> Conductor::adopt(Arrival arrival, const EngineId& engine,
+                                                  std::shared_ptr<Answerer> answerer) {
+  if (byId_.count(arrival.request) != 0) return std::nullopt;
+  Request request;
+  request.id = arrival.request;
+  request.told = arrival;
+  request.cls = arrival.cls.value;
+  request.answerer = std::move(answerer);
+  request.streaming = true;
+  request.out = 1;
+  figures_.taken(request.cls);
+  ++counters_["requests.adopted"];
+  const RequestKey key = requests_.add(std::move(request));
+  byId_[arrival.request] = key;
+  ++unanswered_;
+  Attempt attempt;
+  attempt.request = key;
+  attempt.engine = engine;
+  attempt.sentMs = clock_.nowMs();
+  attempt.opened = true;
+  const AttemptKey stream = attempts_.add(std::move(attempt));
+  Request& r = *requests_.find(key);
+  r.stream = stream;
+  r.attempts.push_back(stream);
+  post(StreamAdopted{arrival, engine});
+  return Stream{key, stream, std::move(arrival), engine};
+}
+
 // ---- Endings ---------------------------------------------------------------------------------------
 
 // The one gate for AttemptEnded: the attempt's slot goes with it, so that there cannot be a second.
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -56,6 +56,20 @@
   // From the operators: this process ends, and is killed no sooner than so long from now.
   void stopping(double graceMs) { post(leverrelay::Stopping{toModule(graceMs)}); }
 
+  // ---- Streams that pass from one process of this conductor to the next ----
+  struct Stream {
+    RequestKey request;
+    AttemptKey attempt;
+    leverrelay::Arrival arrival;
+    leverrelay::EngineId engine;
+  };
+  std::vector<RequestKey> streams() const;
+  std::optional<Stream> streamOf(RequestKey key) const;
+  void handedOver(RequestKey key);  // another process has it: no answer and no attempt of it is here any more
+  // Nothing if a request of this id is known here.
+  std::optional<Stream> adopt(leverrelay::Arrival arrival, const leverrelay::EngineId& engine,
+                              std::shared_ptr<Answerer> answerer);
+
   std::size_t enginesKnown() const { return fleet_.size(); }
   std::size_t open() const { return unanswered_; }  // requests that are owed an answer or its rest
   const Figures& figures() const { return figures_; }
@@ -79,6 +93,7 @@
   };
   struct Request {
     leverrelay::RequestId id;
+    leverrelay::Arrival told;
     std::size_t cls = 0;
     std::shared_ptr<const Payload> payload;
     std::shared_ptr<Answerer> answerer;  // none once the final answer is given or the client is gone
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -1,5 +1,5 @@
 // What operators are told of the requests, by class. Counted at the core's two gates and nowhere else, so
-// that at every moment taken = ok + shed + errors + abandoned + open.
+// that at every moment taken = ok + shed + errors + abandoned + handed over + open.
 #pragma once
 
 #include <cstddef>
@@ -8,12 +8,13 @@
 
 namespace dahliastall::core {
 
-enum class Ending { kOk, kShed, kError, kAbandoned };
+enum class Ending { kOk, kShed, kError, kAbandoned, kHandedOver };
 
 struct ClassFigures {
   std::uint64_t taken = 0, ok = 0, shed = 0, errors = 0, abandoned = 0;
-  std::uint64_t tries = 0;  // attempts whose last byte was written to a box
-  std::uint64_t open = 0;   // taken, and not ended
+  std::uint64_t handedOver = 0;  // to the process that replaces this one
+  std::uint64_t tries = 0;       // attempts whose last byte was written to a box
+  std::uint64_t open = 0;        // taken, and not ended
 };
 
 class Figures {
@@ -50,6 +51,9 @@
       case Ending::kAbandoned:
         ++figures.abandoned;
         break;
+      case Ending::kHandedOver:
+        ++figures.handedOver;
+        break;
     }
   }
 
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -43,6 +43,15 @@
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
   net::Call& call() { return *call_; }
 
+  // A stream that another process began: its head and first events have passed already.
+  void takeUp(const std::string& event) {
+    status_ = 200;
+    written_ = begun_ = true;
+    gate_.see(event);
+  }
+  bool finished() const { return gate_.finished(); }
+  const std::string& part() const { return gate_.part(); }
+
   // A place is asked for right after the last byte of the read: before it the box knows of no read.
   void placeAt(const EngineId& engine) {
     if (written_) boxes_.askPlace(request_, key_, engine);
@@ -305,6 +314,38 @@
   sink->call().abandon();
 }
 
+void Boxes::pause(core::AttemptKey key, std::function<void()> quiet) {
+  if (const auto sink = attempt(key)) sink->call().pause(std::move(quiet));
+}
+
+void Boxes::goOn(core::AttemptKey key) {
+  if (const auto sink = attempt(key)) sink->call().goOn();
+}
+
+// What has its last event is over within a moment.
+std::optional<Boxes::Rest> Boxes::rest(core::AttemptKey key) {
+  const auto sink = attempt(key);
+  if (!sink || sink->finished()) return std::nullopt;
+  const auto call = sink->call().rest();
+  if (!call) return std::nullopt;
+  return Rest{*call, sink->part()};
+}
+
+void Boxes::leave(core::AttemptKey key) { abandon(key); }
+
+bool Boxes::adopt(core::AttemptKey key, const RequestId& request, const EngineId& engine,
+                  const net::Endpoint& address, const Rest& rest) {
+  const auto sink = std::make_shared<AttemptCall>(*this, core::Dispatch{key, request, engine, nullptr, 0});
+  const auto call = pool_.adopt(address, rest.call, sink);
+  if (!call) return false;
+  sink->hold(call);
+  sink->takeUp(rest.event);
+  attempts_[key.slot] = sink;
+  sink->watchForStall();
+  call->goOn();
+  return true;
+}
+
 void Boxes::resume(core::AttemptKey key) {
   const auto sink = attempt(key);
   if (!sink) return;
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -2,6 +2,7 @@
 // it; a dialect holds what they name differently.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -44,6 +45,19 @@
   void release(const leverrelay::RequestId& request) override;
   void probe(const leverrelay::EngineId& engine) override;
 
+  // A stream under way, as it passes from one process to another.
+  struct Rest {
+    net::Call::Rest call;
+    std::string event;  // the part of one that has come
+  };
+  // Quiet is called once rest() can be asked for; if it is not handed over then, goOn() has to follow.
+  void pause(core::AttemptKey attempt, std::function<void()> quiet);
+  std::optional<Rest> rest(core::AttemptKey attempt);
+  void goOn(core::AttemptKey attempt);
+  void leave(core::AttemptKey attempt);  // lets go of a stream that another process has now
+  bool adopt(core::AttemptKey attempt, const leverrelay::RequestId& request,
+             const leverrelay::EngineId& engine, const net::Endpoint& address, const Rest& rest);
+
   void reconfigure(BoxDialect dialect, double releaseWithinMs);
 
   std::size_t releasing() const { return releases_.size(); }
--- a/src/fronts/boxes/event_gate.h
+++ b/src/fronts/boxes/event_gate.h
@@ -33,7 +33,8 @@
     return events;
   }
 
-  bool finished() const { return finished_; }  // the event that ends a stream has come
+  const std::string& part() const { return text_; }  // of an event that has begun
+  bool finished() const { return finished_; }        // the event that ends a stream has come
 
  private:
   static bool fieldOrPartOf(std::string_view line, bool whole) {
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -20,6 +20,17 @@
   connection.answer(ready ? 200 : 503, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "evacuated\n");
 }
 
+std::shared_ptr<net::ClientConnection> Front::connectionOf(core::RequestKey key) const {
+  for (const auto& [connection, open] : open_)
+    if (open == key) return connection->shared_from_this();
+  return nullptr;
+}
+
+void Front::leave(net::ClientConnection& connection) {
+  open_.erase(&connection);
+  connection.leave();
+}
+
 void Front::gone(net::ClientConnection& connection) {
   const auto it = open_.find(&connection);
   if (it == open_.end()) return;
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -20,6 +20,15 @@
   // Whether `GET /-/ready` says yes; as long as nothing is set it does.
   void readyWhen(std::function<bool()> ready) { ready_ = std::move(ready); }
 
+  // ---- Streams that pass from one process to another ----
+  std::shared_ptr<net::ClientConnection> connectionOf(core::RequestKey key) const;
+  void leave(net::ClientConnection& connection);
+  // Whether this front's answers can be taken up in mid-stream by another process's.
+  virtual std::shared_ptr<core::Answerer> adopted(const std::shared_ptr<net::ClientConnection>&) {
+    return nullptr;
+  }
+  void adopt(net::ClientConnection& connection, core::RequestKey key) { open_[&connection] = key; }
+
  protected:
   Front(core::Conductor& conductor, const core::Clock& clock, core::Counters& counters)
       : conductor_(conductor), clock_(clock), counters_(counters) {}
@@ -30,7 +39,7 @@
               std::shared_ptr<const ChatPayload> payload, std::shared_ptr<core::Answerer> answerer);
   void answerReady(net::ClientConnection& connection);
   // Every final answer of a front calls this first.
-  void over(const net::ClientConnection& connection) { open_.erase(&connection); }
+  void over(net::ClientConnection& connection) { open_.erase(&connection); }
 
   core::Conductor& conductor_;
   const core::Clock& clock_;
@@ -38,7 +47,7 @@
 
  private:
   std::function<bool()> ready_;
-  std::map<const net::ClientConnection*, core::RequestKey> open_;
+  std::map<net::ClientConnection*, core::RequestKey> open_;
 };
 
 }  // namespace dahliastall::fronts
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -85,8 +85,8 @@
 
 class PlatformFront::Answer final : public core::Answerer {
  public:
-  Answer(PlatformFront& front, std::shared_ptr<net::ClientConnection> connection)
-      : front_(front), connection_(std::move(connection)) {}
+  Answer(PlatformFront& front, std::shared_ptr<net::ClientConnection> connection, bool begun = false)
+      : front_(front), connection_(std::move(connection)), begun_(begun) {}
 
   void refuse(const core::Refusal& refusal) override {
     net::Fields fields{{"Content-Type", "text/plain"}};
@@ -125,7 +125,7 @@
 
   PlatformFront& front_;
   std::shared_ptr<net::ClientConnection> connection_;
-  bool begun_ = false;
+  bool begun_;
 };
 
 // ---- Requests --------------------------------------------------------------------------------------
@@ -150,6 +150,12 @@
     reject(*connection, 400, "a request with this X-Call-Id is under way");
 }
 
+// A stream here is the box's own events after one head: there is nothing else to take over.
+std::shared_ptr<core::Answerer> PlatformFront::adopted(
+    const std::shared_ptr<net::ClientConnection>& connection) {
+  return std::make_shared<Answer>(*this, connection, /*begun=*/true);
+}
+
 void PlatformFront::reject(net::ClientConnection& connection, unsigned status, std::string_view why) {
   ++counters_["clients.rejected"];
   connection.answer(status, {{"Content-Type", "text/plain"}}, std::string(why) + "\n");
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -50,6 +50,33 @@
   read();
 }
 
+std::optional<ClientConnection::Rest> ClientConnection::rest() {
+  if (state_ != State::kStreaming || writes_ || !waiting_.empty()) return std::nullopt;
+  const auto data = buffer_.data();
+  return Rest{socket_.native_handle(), std::string(static_cast<const char*>(data.data()), data.size()),
+              keepAlive_};
+}
+
+// Without a shutdown, which would end the connection for the other process as well.
+void ClientConnection::leave() {
+  if (state_ == State::kClosed) return;
+  state_ = State::kClosed;
+  deadlines_.cancel(slow_);
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  owner_.closed(shared_from_this());
+}
+
+void ClientConnection::takeUp(const Rest& rest) {
+  connected_ = idleSince_ = firstByte_ = clock_.nowMs();
+  asked_ = true;
+  keepAlive_ = rest.keepAlive;
+  state_ = State::kStreaming;
+  buffer_.commit(
+      boost::asio::buffer_copy(buffer_.prepare(rest.ahead.size()), boost::asio::buffer(rest.ahead)));
+  watch();
+}
+
 ClientConnection::Room ClientConnection::room() const {
   if (lingering_) return Room::kNeverAsked;
   if (state_ != State::kIdle && state_ != State::kReading) return Room::kNone;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -56,6 +56,16 @@
   enum class Room { kNone, kIdle, kNeverAsked };
   Room room() const;
 
+  // A stream under way, as it passes from one process to another.
+  struct Rest {
+    int descriptor = -1;
+    std::string ahead;  // read of the next requests
+    bool keepAlive = true;
+  };
+  std::optional<Rest> rest();  // nothing while anything waits to be written
+  void leave();                      // lets go of a connection that another process has now
+  void takeUp(const Rest& rest);     // instead of start()
+
   void answer(unsigned status, Fields fields, std::string_view body);
   void beginStream(Fields fields);
   bool pass(std::string_view part);  // false: enough is waiting to be written, until drained()
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,8 @@
 #include "net/listener.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/asio/post.hpp>
 #include <vector>
 
@@ -68,6 +71,22 @@
   connection->start();
 }
 
+std::shared_ptr<ClientConnection> Listener::adopt(const ClientConnection::Rest& rest) {
+  boost::asio::ip::tcp::socket socket(io_);
+  boost::system::error_code error;
+  socket.assign(address().protocol(), rest.descriptor, error);
+  if (error) {
+    ::close(rest.descriptor);
+    return nullptr;
+  }
+  ++counters_["clients.adopted"];
+  const auto connection =
+      std::make_shared<ClientConnection>(std::move(socket), handler_, *this, clock_, deadlines_);
+  connections_.insert(connection);
+  connection->takeUp(rest);
+  return connection;
+}
+
 // Guards clients whose connection stands in the accept queue: closing the listener would reset them.
 void Listener::emptyQueue() {
   boost::system::error_code error;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -45,6 +45,9 @@
   // Another cap from now on; idle connections above it make room, open requests end first.
   void capAt(std::size_t cap);
 
+  // A connection whose stream another process began; nothing if the descriptor cannot be used.
+  std::shared_ptr<ClientConnection> adopt(const ClientConnection::Rest& rest);
+
   // Goes on accepting and serving for so long, then closes; done is called when all clients are gone.
   void drain(double doorOpenMs, std::function<void()> done);
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -1,12 +1,14 @@
 #include "net/pool.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdio>
 #include <utility>
 
 namespace dahliastall::net {
@@ -104,6 +106,7 @@
 
 void Call::read() {
   if (reading_ || paused_) return;
+  if (quiet_) return std::exchange(quiet_, nullptr)();
   reading_ = true;
   const auto self = shared_from_this();
   if (midway())
@@ -117,6 +120,8 @@
                                  self->reading_ = false;
                                  self->pool_.deadlines_.cancel(self->stuck_);
                                  if (self->state_ == State::kOver) return;
+                                 if (error == boost::asio::error::operation_aborted && self->quiet_)
+                                   return self->read();
                                  if (error) return self->fail(CallFailure::kReset);
                                  link->buffer.commit(count);
                                  self->parse();
@@ -182,6 +187,55 @@
   sink->done();
 }
 
+void Call::pause(std::function<void()> quiet) {
+  if (state_ != State::kBody || paused_) return;
+  quiet_ = std::move(quiet);
+  if (!reading_) return read();
+  boost::system::error_code ignored;
+  link_->socket.cancel(ignored);
+}
+
+void Call::goOn() {
+  quiet_ = nullptr;
+  if (state_ != State::kBody) return;
+  // Bytes that came with the descriptor may be all there is, so they are parsed before any more is waited
+  // for.
+  if (link_->buffer.size() > 0 && !reading_) parse();
+  else read();
+}
+
+// Only a chunked answer says by itself where it ends, whoever reads it.
+std::optional<Call::Rest> Call::rest() const {
+  if (state_ != State::kBody || reading_ || paused_ || !parser_->chunked()) return std::nullopt;
+  const auto data = link_->buffer.data();
+  return Rest{link_->socket.native_handle(), std::string(static_cast<const char*>(data.data()), data.size()),
+              announced_ - received_, parser_->keep_alive()};
+}
+
+// Brings a parser to where the other process's stood: behind a head, within a chunk of which so much is left.
+// One byte more stands before it, since a parser within a chunk reads the end of the last one first.
+void Call::takeUp(const Rest& rest) {
+  state_ = State::kBody;
+  expectAnswer();
+  std::array<char, 24> size{};
+  std::snprintf(size.data(), size.size(), "%llx", static_cast<unsigned long long>(rest.chunkLeft) + 1);
+  const std::string before = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n") +
+                             (rest.keepAlive ? "" : "Connection: close\r\n") + "\r\n" + size.data() + "\r\nx";
+  boost::system::error_code error;
+  for (std::string_view left = before; !left.empty() && !error;) {
+    const std::size_t used = parser_->put(boost::asio::buffer(left), error);
+    if (error == http::error::need_more) error = {};
+    if (used == 0) break;
+    left.remove_prefix(used);
+  }
+  headSeen_ = true;
+  received_ = parser_->get().body().size();
+  parser_->get().body().clear();
+  auto& buffer = link_->buffer;
+  buffer.commit(
+      boost::asio::buffer_copy(buffer.prepare(rest.unread.size()), boost::asio::buffer(rest.unread)));
+}
+
 void Call::resume() {
   if (!std::exchange(paused_, false) || state_ != State::kBody) return;
   read();
@@ -243,6 +297,23 @@
   return true;
 }
 
+std::shared_ptr<Call> Pool::adopt(const Endpoint& from, const Call::Rest& rest,
+                                  std::shared_ptr<CallSink> sink) {
+  auto link = std::make_shared<Link>(io_);
+  boost::system::error_code error;
+  link->socket.assign(from.protocol(), rest.descriptor, error);
+  if (error) {
+    ::close(rest.descriptor);
+    return nullptr;
+  }
+  link->to = from;
+  ++open_;
+  const auto call = std::make_shared<Call>(*this, from, std::string(), nullptr, std::move(sink));
+  call->link_ = std::move(link);
+  call->takeUp(rest);
+  return call;
+}
+
 // The one used last: it is the least likely to be closed, and the others can age and go.
 std::shared_ptr<Link> Pool::takeIdle(const Endpoint& to) {
   for (auto it = idle_.end(); it != idle_.begin();) {
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -69,6 +69,18 @@
   void resume();
   void garbled() { fail(CallFailure::kGarbled); }  // the sink cannot read the body
 
+  // An answer under way, as it passes from one process to another.
+  struct Rest {
+    int descriptor = -1;
+    std::string unread;           // come, and not parsed yet
+    std::uint64_t chunkLeft = 0;  // of the chunk under way
+    bool keepAlive = true;
+  };
+  // Reads no more; quiet is called once no operation is under way, and never if the call ends before.
+  void pause(std::function<void()> quiet);
+  void goOn();                       // after pause(), as if nothing had been
+  std::optional<Rest> rest() const;  // after pause(); nothing if it cannot be taken up elsewhere
+
  private:
   friend class Pool;
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -80,6 +92,7 @@
   void expectAnswer();
   void parse();
   bool skipInterim();
+  void takeUp(const Rest& rest);
   bool midway() const;
   void complete();
   void fail(CallFailure why);
@@ -94,6 +107,7 @@
   std::optional<Parser> parser_;
   std::function<void(std::uint64_t, boost::beast::string_view, boost::beast::error_code&)> onChunk_;
   std::optional<core::Deadlines::Key> dial_, stuck_;
+  std::function<void()> quiet_;
   std::uint64_t announced_ = 0, received_ = 0;  // bytes of chunks
   int interim_ = 0;
   State state_ = State::kWaiting;
@@ -115,6 +129,8 @@
 
   std::shared_ptr<Call> call(const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
                              std::shared_ptr<CallSink> sink);
+  // Takes up what another process left off; the descriptor is this one's now. Goes on with goOn().
+  std::shared_ptr<Call> adopt(const Endpoint& from, const Call::Rest& rest, std::shared_ptr<CallSink> sink);
   void dropIdle(const Endpoint& to);
   void dialWithin(double ms) { limits_.dialMs = ms; }
   // Another cap from now on; idle connections above it close, busy ones end first.
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -90,8 +90,7 @@
   Time last_{};
 };
 
-// 64-bit mixing (FNV-1a, then a finaliser), the same at every node.
-std::uint64_t hashOf(const std::string& a, const std::string& b) {
+std::uint64_t hashOf(const std::string& a, const std::string& b) {  // FNV-1a, then a finaliser
   std::uint64_t hash = 14695981039346656037ULL;
   for (const std::string* text : {&a, &b}) {
     for (const char c : *text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
@@ -130,13 +129,12 @@
   Time waitAt{};
   Average fails;
   bool ejected = false;
-  Time ejectedAt{};
+  Time ejectedAt{}, coldFilled{};
   int trialsLeft = 0;  // to go well before it is trusted again
   Duration pause = kFirstPause;
   Time trialAt{}, fullUntil{};     // when an ejected engine may be tried; no room is expected until
   std::map<Caller, Time> refuses;  // whom it turned away, believed until
   double coldTokens = 0;           // sends left in the cold budget
-  Time coldFilled{};
 };
 
 // What a cell has of the fleet, by the list alone, so that every node reckons the same.
@@ -150,25 +148,23 @@
 struct Attempt {
   Engine* engine;
   Time sentAt;
-  bool writes;    // at a writer or mixed engine: may have an effect
-  double tokens;  // booked as waiting to be read
-  bool home;      // at the first reader of its order, which keeps its text for all nodes
-  bool out = true, calledOff = false;
-  int overtaken = 0;      // later sends there that were answered well ahead of it
-  bool harmless = false;  // its outcome proved that it never ran
+  bool writes;                         // at a writer or mixed engine: may have an effect
+  double tokens;                       // booked as waiting to be read
+  bool home;                           // at the first reader of its order, which keeps its text for all nodes
+  bool out = true, calledOff = false;  // out: only the last one of a request can be
+  int overtaken = 0;                   // later sends there that were answered well ahead of it
+  bool harmless = false;               // its outcome proved that it never ran
 };
 
 struct Request {
   Arrival told;
-  Time arrivedAt, deadline, aim;
+  Time arrivedAt, deadline, aim, readAt{};  // last: last outcome while a state waits
   Phase phase = Phase::kWaiting;
   std::vector<Attempt> attempts;
-  std::set<EngineId> avoid;  // engines that failed it
-  Engine* place = nullptr;   // asked or held
+  std::set<EngineId> avoid;                    // engines that failed it
+  Engine *place = nullptr, *reader = nullptr;  // asked or held; whose memory holds the state
   int placesRefused = 0;
-  Engine* reader = nullptr;      // whose memory holds the state
   const Engine* home = nullptr;  // the first reader of its order
-  Time readAt{};                 // last outcome while a state waits
   bool pinned = false;           // a state or place may be held
   Engine* booked = nullptr;      // writer whose load it counts in
   double bookedTokens = 0;
@@ -654,11 +650,10 @@
   }
 
   bool anotherFor(const Request& r, const Engine& e) const {
-    return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
-      const Engine& x = entry.second;
-      return &x != &e && (x.role == Role::kReader) == (e.role == Role::kReader) && fit(x) &&
-             r.avoid.count(entry.first) == 0;
-    });
+    for (const auto& [id, x] : engines_)
+      if (&x != &e && (x.role == Role::kReader) == (e.role == Role::kReader) && fit(x) && !r.avoid.count(id))
+        return true;
+    return false;
   }
 
   // Calls off what waits at a silent engine, or was swallowed, while another could take it.
@@ -672,7 +667,7 @@
     if (!anotherFor(r, *a.engine)) return;
     a.calledOff = true;
     noteBad(*a.engine, "silent", false);
-    emit(Cancel{r.told.request, lastAttempt(r)});
+    emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
   }
 
   bool mayHaveRun(const Request& r) const {
@@ -680,9 +675,6 @@
                        [](const Attempt& a) { return a.writes && !a.harmless; });
   }
 
-  int lastAttempt(const Request& r) const { return static_cast<int>(r.attempts.size()) - 1; }
-
-  // sendTo() lets none out before the one ahead of it has ended.
   bool attemptOut(const Request& r) const { return !r.attempts.empty() && r.attempts.back().out; }
 
   static bool sameGroup(const ListEntry& a, const ListEntry& b, Group group) {
@@ -745,23 +737,22 @@
   void letGo(Request& r) {
     if (r.pinned) emit(Release{r.told.request});
     r.pinned = false;
-    r.place = nullptr;
-    r.reader = nullptr;
+    r.place = r.reader = nullptr;
     unbook(r);
   }
 
   void callOff(const Request& r) {
-    if (set_.limits.cancel && attemptOut(r)) emit(Cancel{r.told.request, lastAttempt(r)});
+    if (set_.limits.cancel && attemptOut(r))
+      emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
   }
 
   // The one gate for endings: one final answer, nothing after it, nothing left out or held.
   void finish(Request& r) {
     if (r.phase == Phase::kOver) return;
     callOff(r);
-    std::optional<Duration> advice;
-    if (set_.limits.retryAfter) advice = scaled(set_.limits.maxRetryAfter, kAdvice);
-    if (mayRefuse(r)) emit(Refuse{r.told.request, advice});
-    else emit(Fail{r.told.request});
+    const Duration advice = scaled(set_.limits.maxRetryAfter, kAdvice);
+    if (!mayRefuse(r)) emit(Fail{r.told.request});
+    else emit(Refuse{r.told.request, set_.limits.retryAfter ? std::optional(advice) : std::nullopt});
     close(r);
   }
 
@@ -862,6 +853,17 @@
     if (++r->placesRefused < kPlaceTries) askPlace(*r);
   }
 
+  void on(const StreamAdopted& stream) {
+    const auto e = engines_.find(stream.engine);
+    if (e == engines_.end()) return;
+    Request& r = requests_[stream.told.request];
+    r.told = stream.told;
+    r.openedAt = r.arrivedAt = r.deadline = r.aim = now_;
+    r.phase = Phase::kStreaming;
+    r.attempts.assign(1, {&e->second, now_, true, 0, false});
+    book(r, e->second);
+  }
+
   void on(const AttemptEnded& ended) {
     Request* r = held(ended.request);
     Attempt* a = attemptOf(r, ended.attempt);
@@ -979,8 +981,7 @@
     }
   }
 
-  // Guards the clients of a node that ends, whose streams would all come again at once when it is killed:
-  // here they move over the end of the grace, and what may go on longest first.
+  // A node that ends moves its streams over the end of its grace, the longest first: a kill moves all.
   void handOver() {
     const double passed = ratio(now_ - *stopsAt_, grace_);
     std::vector<std::tuple<double, Time, RequestId>> streams;
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -673,7 +673,7 @@
   raise(SIGHUP);  // by default this would end the program
   Site site(kMixed, true);
   int calls = 0;
-  site.engine->run(*site.listener, {500, std::nullopt, {}}, [&] {
+  site.engine->run(*site.listener, {500, std::nullopt, {}, {}}, [&] {
     if (++calls == 1) {
       raise(SIGHUP);
       throw app::ConfigError("half a file");
