--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,387 @@
+// One process of a conductor replaces another: streams under way pass from one to the other, piece by piece
+// first, then with two real processes and clients that go on asking.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "app/handover.h"
+#include "app/operations.h"
+#include "support/stage.h"
+
+extern char** environ;
+
+namespace dahliastall {
+namespace {
+
+struct Folder {
+  Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "dahliastall-upgrade-XXXXXX").string();
+    path = ::mkdtemp(name.data());
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+std::string chunk(const std::string& data) {
+  std::array<char, 24> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  return size.data() + data + "\r\n";
+}
+
+// ---- An answer under way ---------------------------------------------------------------------------
+
+// Wherever a chunked answer is cut, who takes it up reads on as if it had read it from the start.
+TEST(AnswerUnderWay, IsTakenUpAtAnyByte) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string text = "data: one\n\ndata: two\n\n";
+  const std::string body =
+      chunk(text.substr(0, 7)) + chunk(text.substr(7, 1)) + chunk(text.substr(8)) + "0\r\n\r\n";
+  for (std::size_t cut = 5; cut + 5 < body.size(); ++cut) {
+    SCOPED_TRACE(cut);
+    Stage stage;
+    net::Pool first(stage.io, stage.clock, stage.deadlines, stage.counters, {4, 1000, 10'000});
+    net::Pool second(stage.io, stage.clock, stage.deadlines, stage.counters, {4, 1000, 10'000});
+    RawPeer box(stage.io);
+    const auto before = std::make_shared<Reply>(), after = std::make_shared<Reply>();
+    const auto call = first.call(box.address(), "GET / HTTP/1.1\r\n\r\n", nullptr, before);
+    box.accept();
+    ASSERT_TRUE(stage.until([&] { return before->wasWritten; }));
+    box.write(head + body.substr(0, cut));
+    ASSERT_TRUE(stage.until([&] { return before->status == 200; }));
+    stage.io.poll();
+    bool quiet = false;
+    call->pause([&] { quiet = true; });
+    ASSERT_TRUE(stage.until([&] { return quiet; }));
+    auto rest = call->rest();
+    ASSERT_TRUE(rest);
+    rest->descriptor = ::dup(rest->descriptor);
+    call->abandon();
+    const auto taken = second.adopt(box.address(), *rest, after);
+    ASSERT_TRUE(taken);
+    taken->goOn();
+    box.write(body.substr(cut));
+    ASSERT_TRUE(stage.until([&] { return after->over; }));
+    EXPECT_TRUE(after->whole);
+    EXPECT_EQ(before->text + after->text, text);
+    EXPECT_EQ(first.size(), 0U);
+    EXPECT_EQ(second.size(), 1U);  // kept for the next request
+  }
+}
+
+TEST(AnswerUnderWay, GoesOnWhereItIsIfItIsNotHandedOver) {
+  Stage stage;
+  net::Pool pool(stage.io, stage.clock, stage.deadlines, stage.counters, {4, 1000, 10'000});
+  RawPeer box(stage.io);
+  const auto reply = std::make_shared<Reply>();
+  const auto call = pool.call(box.address(), "GET / HTTP/1.1\r\n\r\n", nullptr, reply);
+  box.accept();
+  ASSERT_TRUE(stage.until([&] { return reply->wasWritten; }));
+  box.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("one"));
+  ASSERT_TRUE(stage.until([&] { return reply->text == "one"; }));
+  for (int i = 0; i < 3; ++i) {
+    bool quiet = false;
+    call->pause([&] { quiet = true; });
+    ASSERT_TRUE(stage.until([&] { return quiet; }));
+    call->goOn();
+  }
+  box.write(chunk("two") + "0\r\n\r\n");
+  ASSERT_TRUE(stage.until([&] { return reply->over; }));
+  EXPECT_TRUE(reply->whole);
+  EXPECT_EQ(reply->text, "onetwo");
+}
+
+TEST(HandedStream, KeepsEveryByteOfItsStateAndRefusesWhatIsNone) {
+  app::HandedStream stream{};
+  stream.arrival.request = {"id-1"};
+  stream.arrival.cls = {1};
+  stream.arrival.tenant = leverrelay::TenantIndex{2};
+  stream.arrival.session = std::string("s\0\xff", 3);
+  stream.arrival.maxTokens = 256;
+  stream.engine = {"box"};
+  stream.address = net::Endpoint(boost::asio::ip::make_address("127.0.0.1"), 9001);
+  stream.box.call.unread = std::string("\r\n3\r\n\0\xfe", 7);
+  stream.box.call.chunkLeft = 17;
+  stream.box.event = "data: \xe2\x82";  // half a character
+  stream.client.ahead = "POST";
+  stream.client.keepAlive = true;
+  const std::string text = app::textOf(stream);
+  const app::HandedStream back = app::handedStreamOf(text);
+  EXPECT_EQ(back.arrival.session, stream.arrival.session);
+  EXPECT_EQ(back.arrival.tenant, stream.arrival.tenant);
+  EXPECT_EQ(back.box.call.unread, stream.box.call.unread);
+  EXPECT_EQ(back.box.call.chunkLeft, 17U);
+  EXPECT_EQ(back.box.event, stream.box.event);
+  EXPECT_EQ(back.client.ahead, "POST");
+  EXPECT_EQ(back.address, stream.address);
+  for (std::size_t cut = 0; cut < text.size(); ++cut)
+    EXPECT_THROW(app::handedStreamOf(text.substr(0, cut)), std::exception);
+}
+
+TEST(Passing, DescriptorsArriveWithTheirMessageAndFullIsSaidAtOnce) {
+  Folder folder;
+  boost::asio::io_context io;
+  std::vector<app::Passed> taken;
+  app::PassingReceiver receiver(io, folder.path, "in",
+                                [&](app::Passed passed) { taken.push_back(std::move(passed)); });
+  ASSERT_TRUE(receiver.isOpen());
+  app::PassingSender sender(folder.path, "in");
+  ASSERT_TRUE(sender.isOpen());
+  int pipe[2];
+  ASSERT_EQ(::pipe(pipe), 0);
+  ASSERT_EQ(sender.send("hello", {pipe[1]}), app::PassingSender::Result::kSent);
+  ASSERT_TRUE(until(io, [&] { return taken.size() == 1; }));
+  ASSERT_EQ(taken[0].descriptors.size(), 1U);
+  ASSERT_EQ(::write(taken[0].descriptors[0].get(), "x", 1), 1);
+  char byte = 0;
+  EXPECT_EQ(::read(pipe[0], &byte, 1), 1);
+  EXPECT_EQ(sender.send(std::string(app::PassingReceiver::kLargest + 1, 'x'), {}),
+            app::PassingSender::Result::kBroken);
+  int sent = 0;  // nobody reads meanwhile
+  while (sent < 10'000 && sender.send(std::string(100'000, 'x'), {}) == app::PassingSender::Result::kSent)
+    ++sent;
+  EXPECT_LT(sent, 10'000);
+  ASSERT_TRUE(until(io, [&] { return taken.size() == 1U + sent; }));
+  EXPECT_FALSE(app::PassingSender(folder.path, "nobody").isOpen());
+  ::close(pipe[0]);
+  ::close(pipe[1]);
+}
+
+// ---- Two processes -----------------------------------------------------------------------------------
+
+// Discovery as the platform has it: one watch, which says what there is and then nothing.
+struct Discovery final : net::RequestHandler {
+  Discovery(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines)
+      : listener(io, anyPort(), 100, *this, clock, deadlines, counters) {}
+  void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&&,
+               double) override {
+    connection->beginStream({});
+    connection->pass(line);
+  }
+  void gone(net::ClientConnection&) override {}
+  void drained(net::ClientConnection&) override {}
+  void reject(net::ClientConnection&, unsigned, std::string_view) override {}
+  core::Counters counters;
+  std::string line;
+  net::Listener listener;
+};
+
+std::string textOf(const net::Endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+net::Endpoint freePort() {
+  boost::asio::io_context io;
+  return tcp::acceptor(io, anyPort()).local_endpoint();
+}
+
+struct Platform : Stage {
+  Folder folder;
+  StandInBox box{io, clock, deadlines}, other{io, clock, deadlines};
+  Discovery discovery{io, clock, deadlines};
+  net::Endpoint listen = freePort();
+  std::vector<pid_t> started;
+
+  Platform() {
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& [id, one] : {std::pair("m1", &box), std::pair("m2", &other)})
+      members.push_back({{"id", id},
+                         {"host_port", textOf(one->address())},
+                         {"locality", "z"},
+                         {"flavor", "mixed"},
+                         {"cell", 0},
+                         {"phase", "active"},
+                         {"size", 1.0},
+                         {"up_since_ms", 0}});
+    discovery.line = nlohmann::json{{"revision", 1}, {"complete", true}, {"members", members}}.dump() + "\n";
+    nlohmann::json settings = siteSettings();
+    settings["familyInfo"]["resume"] = true;
+    std::ofstream(folder.path + "/config.json") << nlohmann::json{
+        {"name", "n0"}, {"listen", textOf(listen)},     {"discovery", textOf(discovery.listener.address())},
+        {"seed", "7"},  {"limits", {{"sockets", 512}}}, {"settings", settings}};
+  }
+  ~Platform() {
+    for (const pid_t process : started) {
+      ::kill(process, SIGKILL);
+      ::waitpid(process, nullptr, 0);
+    }
+  }
+
+  pid_t start(const net::Endpoint& door) {
+    const std::string config = "GW_CONFIG=" + folder.path + "/config.json",
+                      admin = "GW_ADMIN_ADDR=" + textOf(door), temporary = "TMPDIR=" + folder.path;
+    const pid_t process = ::fork();
+    if (process == 0) {
+      std::vector<char*> variables;
+      for (char** variable = environ; *variable != nullptr; ++variable) {
+        const std::string_view name(*variable);
+        if (name.rfind("TMPDIR=", 0) != 0 && name.rfind("GW_", 0) != 0) variables.push_back(*variable);
+      }
+      for (const std::string* own : {&config, &admin, &temporary})
+        variables.push_back(const_cast<char*>(own->c_str()));
+      variables.push_back(nullptr);
+      char* const words[] = {const_cast<char*>(DAHLIASTALL_PROGRAM), const_cast<char*>("serve"), nullptr};
+      ::execve(DAHLIASTALL_PROGRAM, words, variables.data());
+      ::_exit(127);
+    }
+    started.push_back(process);
+    return process;
+  }
+
+  std::string call(const net::Endpoint& door, const std::string& line) {
+    tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(door, error);
+    if (error) return "";
+    RawPeer peer(io);
+    peer.connect(door);
+    peer.write(line + "\n");
+    return until([&] { return peer.ended(); }) ? peer.seen : "";
+  }
+  bool ready(const net::Endpoint& door) {
+    return until([&] { return call(door, "readyz").rfind("ok", 0) == 0; });
+  }
+
+  std::string ask() {
+    const std::string body = R"({"model":"m","stream":true,"messages":[]})";
+    return messageText("POST /v1/chat/completions HTTP/1.1",
+                       {{"Host", "x"},
+                        {"X-Call-Id", "id-" + std::to_string(++asked)},
+                        {"X-Call-Class", "member-questions"},
+                        {"X-Caller", "club"},
+                        {"X-Budget-Ms", "7000"},
+                        {"X-Call-Info", "prompt_len=100,max_out=50"}},
+                       body);
+  }
+  int asked = 0;
+};
+
+bool whole(const std::string& answer) {
+  return answer.rfind("HTTP/1.1 200", 0) == 0 && answer.find("data: [DONE]") != std::string::npos &&
+         answer.find("\r\n0\r\n\r\n") != std::string::npos;
+}
+
+TEST(Upgrade, NoStreamBreaksNoConnectionIsRefusedAndExclusionsHold) {
+  Platform platform;
+  std::vector<StandInBox::Taken*> held;
+  bool hold = true;
+  for (StandInBox* box : {&platform.box, &platform.other})
+    box->script = [&](StandInBox& at, StandInBox::Taken& taken) {
+      if (!hold) return streamWhole(at, taken);
+      taken.connection->beginStream({{"Content-Type", "text/event-stream"}});
+      taken.connection->pass(eventOf("first"));
+      held.push_back(&taken);
+    };
+  const net::Endpoint oldDoor = freePort(), newDoor = freePort();
+  const pid_t old = platform.start(oldDoor);
+  ASSERT_TRUE(platform.ready(oldDoor));
+  EXPECT_EQ(platform.call(oldDoor, "exclude nobody").rfind("fail", 0), 0U);
+  EXPECT_EQ(platform.call(oldDoor, "exclude m2").rfind("ok", 0), 0U);
+
+  constexpr std::size_t kStreams = 6;
+  std::vector<std::unique_ptr<RawPeer>> streams;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    streams.push_back(std::make_unique<RawPeer>(platform.io));
+    streams.back()->connect(platform.listen);
+    streams.back()->write(platform.ask());
+    ASSERT_TRUE(platform.until([&] { return held.size() > i; }));
+    ASSERT_TRUE(platform.until(
+        [&] { return !streams[i]->ended() && streams[i]->seen.find("first") != std::string::npos; }));
+  }
+  EXPECT_EQ(platform.other.chats(), 0);
+  EXPECT_NE(platform.call(oldDoor, "telemetry").find("app_active 6\n"), std::string::npos);
+  // A kept connection that rests when the processes change.
+  hold = false;
+  RawPeer kept(platform.io);
+  kept.connect(platform.listen);
+  kept.write(platform.ask());
+  ASSERT_TRUE(platform.until([&] { return !kept.ended() && whole(kept.seen); }));
+
+  const pid_t fresh = platform.start(newDoor);
+  ASSERT_TRUE(platform.ready(newDoor));
+  EXPECT_NE(platform.call(newDoor, "telemetry").find("app_pool_ejected 1\n"), std::string::npos);
+  ::kill(old, SIGTERM);
+  int answered = 0;
+  const auto askOnce = [&] {
+    RawPeer peer(platform.io);
+    peer.connect(platform.listen);
+    peer.write(platform.ask());
+    EXPECT_TRUE(platform.until([&] { return peer.ended() || whole(peer.seen); }));
+    EXPECT_TRUE(whole(peer.seen)) << peer.seen;
+    answered += whole(peer.seen);
+  };
+  int status = 0;
+  bool over = false;
+  for (int i = 0; i < 20 || !over; ++i) {  // a steady client while the old process ends
+    ASSERT_LT(i, 5000);
+    askOnce();
+    over = over || ::waitpid(old, &status, WNOHANG) == old;
+  }
+  std::erase(platform.started, old);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  EXPECT_GE(answered, 20);
+  EXPECT_TRUE(platform.until([&] { return kept.ended(); }));
+
+  // The streams that the old process began end whole under the new one, and it counts them.
+  EXPECT_NE(platform.call(newDoor, "telemetry").find("app_active 6\n"), std::string::npos);
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    EXPECT_FALSE(held[i]->gone);
+    held[i]->connection->pass(eventOf("second"));
+    held[i]->connection->pass(kLastEvents);
+    held[i]->connection->endStream();
+    ASSERT_TRUE(platform.until([&] { return streams[i]->ended() || whole(streams[i]->seen); }));
+    EXPECT_TRUE(whole(streams[i]->seen)) << streams[i]->seen;
+    EXPECT_NE(streams[i]->seen.find("second"), std::string::npos);
+    EXPECT_EQ(streams[i]->seen.find("HTTP/1.1", 10), std::string::npos);
+    // The connection lives on: the next request on it is the new process's.
+    streams[i]->seen.clear();
+    streams[i]->write(platform.ask());
+    ASSERT_TRUE(platform.until([&] { return streams[i]->ended() || whole(streams[i]->seen); }));
+    EXPECT_TRUE(whole(streams[i]->seen));
+  }
+  EXPECT_EQ(platform.other.chats(), 0);
+  EXPECT_EQ(platform.call(newDoor, "include m2").rfind("ok", 0), 0U);
+  EXPECT_NE(platform.call(newDoor, "telemetry").find("app_active 0\n"), std::string::npos);
+  ::kill(fresh, SIGTERM);
+  ASSERT_EQ(::waitpid(fresh, &status, 0), fresh);
+  std::erase(platform.started, fresh);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
+// Killed outright, a process leaves files; the next one starts as if alone and keeps the exclusions.
+TEST(Upgrade, WhatAKilledProcessLeavesBehindDoesNoHarm) {
+  Platform platform;
+  for (StandInBox* box : {&platform.box, &platform.other}) box->script = streamWhole;
+  const net::Endpoint first = freePort(), second = freePort();
+  const pid_t killed = platform.start(first);
+  ASSERT_TRUE(platform.ready(first));
+  EXPECT_EQ(platform.call(first, "exclude m1").rfind("ok", 0), 0U);
+  ::kill(killed, SIGKILL);
+  ::waitpid(killed, nullptr, 0);
+  std::erase(platform.started, killed);
+  platform.start(second);
+  ASSERT_TRUE(platform.ready(second));
+  EXPECT_NE(platform.call(second, "telemetry").find("app_pool_ejected 1\n"), std::string::npos);
+  RawPeer peer(platform.io);
+  peer.connect(platform.listen);
+  peer.write(platform.ask());
+  ASSERT_TRUE(platform.until([&] { return peer.ended() || whole(peer.seen); }));
+  EXPECT_EQ(platform.box.chats(), 0);
+  EXPECT_EQ(platform.other.chats(), 1);
+}
+
+TEST(Upgrade, ADoorThatCannotBeListenedOnEndsTheStartWithAReason) {
+  Platform platform;
+  RawPeer taken(platform.io);
+  const pid_t process = platform.start(taken.address());
+  int status = 0;
+  ASSERT_EQ(::waitpid(process, &status, 0), process);
+  std::erase(platform.started, process);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1);
+}
+
+}  // namespace
+}  // namespace dahliastall
