--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -240,7 +240,8 @@
   bool coldAllows(Engine& e) {
     if (warmShare(e) >= 1) return true;
     const double window = ratio(set_.contract.fallFor, seconds(1));
-    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) / ratio(kFlowMemory, seconds(1)) *
+    const double seen = -std::expm1(-ratio(std::max(now_ - startedAt_, set_.contract.fallFor), kFlowMemory));
+    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) / ratio(kFlowMemory, seconds(1)) / seen *
                          e.info.weight / std::max(mostWeight_[at(e.role)], kTiny);
     const double perSecond = std::max(
         1 / (window * set_.nodes), set_.contract.coldFrom * set_.contract.fallFactor * usual * kColdSafety);
@@ -316,10 +317,7 @@
     return std::max(timeFor(e.readTokens / warmShare(e)), scaled(e.wait, fading(now_, e.waitAt, fade())));
   }
 
-  void noteWait(Engine& e, Duration wait) {
-    e.wait = wait;
-    e.waitAt = now_;
-  }
+  void noteWait(Engine& e, Duration wait) { std::tie(e.wait, e.waitAt) = std::pair(wait, now_); }
 
   Duration readTime(const Request& r, const Engine& e) const { return waitAt(e) + timeFor(unread(r, e)); }
 
@@ -775,6 +773,7 @@
 
   void start() {
     started_ = true;
+    startedAt_ = now_;
     if (problem_) say("unusable settings: " + *problem_);
     if (set_.discovery == Discovery::kAsk) emit(Subscribe{});
   }
@@ -822,8 +821,9 @@
     // Whoever asks for the rest had its first token: the mean pace counts, and a refusal loses it all.
     r.aim = now_ + classOf(r).aim + scaled(classOf(r).aimPer1000, told.promptTokens / 1000);
     if (told.resumed) r.aim = r.deadline;
-    retries_ = std::min(kRetryBurst, retries_ + kRetryShare);
     countKey(r);
+    const double seen = kRetryShare * arrivals_.at(now_, kFlowMemory) + 1;
+    retries_ = std::min({kRetryBurst, retries_ + kRetryShare, seen});
     if (tooBig(r) || hopeless(r)) finish(r);
     forgetIfDone(told.request);
   }
@@ -967,7 +967,6 @@
 
   // Work that waits: states first, for they pin memory; then by worth and by the order of their ends.
   void pump() {
-    if (requests_.empty()) return;
     std::vector<std::tuple<bool, double, Time, RequestId>> work;
     for (auto& [id, r] : requests_) {
       if (r.phase == Phase::kReading || r.phase == Phase::kWriting) rescue(r);
@@ -1052,7 +1051,7 @@
   Duration grace_{};
   std::uint64_t alarms_ = 0, mostStreams_ = 0;  // seen since they began to move
   bool pulseSet_ = false, started_ = false;
-  Time now_{}, lastRead_{};
+  Time now_{}, lastRead_{}, startedAt_{};
   std::vector<Action>* act_ = nullptr;
 };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -350,6 +350,23 @@
   EXPECT_LE(cold, 3);
 }
 
+// A node that has just started has seen little, not little a second: at an upgrade all are as young as that.
+TEST(ColdEngines, AYoungNodeUsesAColdEngineAsMuchAsAnOldOne) {
+  int used[2] = {};
+  for (const int old : {0, 1}) {
+    Fleet fleet;
+    fleet.list({engine("r0", kReader), engine("w0", kWriter)});
+    for (int i = 0; i < (old != 0 ? 400 : 12); ++i) fleet.serve(numbered("warm", i));  // 4 a second
+    fleet.list({coldOne("v0", kWriter, fleet.now())}, ListForm::kChanges);
+    for (int i = 0; i < 24; ++i) {
+      fleet.wait(250ms).arrive(numbered("b", i));
+      used[old] += fleet.placeAt() == "v0" ? 1 : 0;
+    }
+  }
+  EXPECT_GE(used[0], used[1] - 2);
+  EXPECT_GT(used[1], 4);
+}
+
 // ---- Rule five
 
 TEST(Pinned, AStateThatNoWriterTakesIsLetGoWithinTheLimit) {
@@ -514,6 +531,23 @@
   EXPECT_EQ(fleet.sentTo()[0], 'r');
 }
 
+// Hundreds of nodes, each with a burst of its own, would turn a jam into a flood.
+TEST(FurtherAttempts, ANodeThatSeesFewRequestsSparesFewRetries) {
+  Fleet fleet;
+  std::vector<ListEntry> boxes{engine("w0", kWriter)};
+  for (int i = 0; i < 8; ++i) boxes.push_back(engine(numbered("r", i), kReader));
+  fleet.list(boxes);
+  int sends = 0;
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = numbered("q", i);
+    for (std::string at = fleet.wait(500ms).arrive(id).sentTo(); !at.empty();
+         at = fleet.end(id, at, Outcome::kError).sentTo())
+      ++sends;
+  }
+  EXPECT_GT(sends, 4);
+  EXPECT_LE(sends, 4 + 3);
+}
+
 TEST(FurtherAttempts, StopAtTheLimit) {
   Settings s = plainSettings();
   s.limits.maxAttempts = 1;
