Admit connections by address, reserve and descriptors; refuse early and in words

Need: one global cap, with the longest idle giving way, let a terminal that loops on reconnects push out everybody who thinks between two questions; a failed accept only paused.

Change: src/admission decides (addresses and ranges, checked rules, the gate, the ledger of descriptors), the listener carries out, the chat front says whose key a request carries; refusals are 429 or 503 with Retry-After, at most 64 being read at a time; on EMFILE a spare descriptor turns clients away in words. 'admission explain' and the door's 'admission' show it. Off on the platform, where only the ledger counts.

--- /dev/null
+++ b/src/admission/address.cpp
@@ -0,0 +1,69 @@
+#include "admission/address.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace dahliastall::admission {
+
+namespace {
+
+constexpr int kMappedBits = 96;
+constexpr std::array<std::uint8_t, 12> kMapped{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
+
+}  // namespace
+
+std::optional<Address> Address::parse(const std::string& text) {
+  Address address;
+  in_addr four{};
+  if (::inet_pton(AF_INET, text.c_str(), &four) == 1) {
+    std::copy(kMapped.begin(), kMapped.end(), address.bytes.begin());
+    std::memcpy(address.bytes.data() + kMapped.size(), &four, sizeof four);
+    return address;
+  }
+  if (::inet_pton(AF_INET6, text.c_str(), address.bytes.data()) == 1) return address;
+  return std::nullopt;
+}
+
+bool Address::isV4() const { return std::equal(kMapped.begin(), kMapped.end(), bytes.begin()); }
+
+Address Address::masked(int bits) const {
+  Address out = *this;
+  for (int i = 0; i < 16; ++i) {
+    const int left = std::clamp(bits - i * 8, 0, 8);
+    out.bytes[static_cast<std::size_t>(i)] &= static_cast<std::uint8_t>(0xff00 >> left);
+  }
+  return out;
+}
+
+std::string Address::text() const {
+  std::array<char, INET6_ADDRSTRLEN> out{};
+  if (isV4()) ::inet_ntop(AF_INET, bytes.data() + kMapped.size(), out.data(), out.size());
+  else ::inet_ntop(AF_INET6, bytes.data(), out.data(), out.size());
+  return out.data();
+}
+
+std::optional<Range> Range::parse(const std::string& text) {
+  const std::size_t slash = text.find('/');
+  const auto base = Address::parse(text.substr(0, slash));
+  if (!base) return std::nullopt;
+  Range range;
+  range.base_ = *base;
+  if (slash != std::string::npos) {
+    const char* const last = text.data() + text.size();
+    const auto [end, fault] = std::from_chars(text.data() + slash + 1, last, range.bits_);
+    const int most = base->isV4() ? 32 : 128;
+    if (fault != std::errc() || end != last || range.bits_ < 0 || range.bits_ > most) return std::nullopt;
+    if (base->isV4()) range.bits_ += kMappedBits;
+  }
+  if (base->masked(range.bits_) != *base) return std::nullopt;
+  return range;
+}
+
+std::string Range::text() const {
+  return base_.text() + "/" + std::to_string(base_.isV4() ? bits_ - kMappedBits : bits_);
+}
+
+}  // namespace dahliastall::admission
--- /dev/null
+++ b/src/admission/ledger.cpp
@@ -0,0 +1,73 @@
+#include "admission/ledger.h"
+
+#include <algorithm>
+
+namespace dahliastall::admission {
+
+namespace {
+
+constexpr std::size_t kFixed = 64;  // of all accounts but clients and boxes together
+constexpr std::size_t kDiscovery = 4, kControl = 40, kTelemetry = 2;
+constexpr double kTightFrom = 0.9, kTightUntil = 0.8;
+constexpr double kExhaustedFrom = 0.98, kExhaustedUntil = 0.9;
+constexpr double kOutMs = 1'000;  // believed so long: descriptors come back as connections end
+
+}  // namespace
+
+const char* nameOf(Account account) {
+  constexpr std::array<const char*, Ledger::kAccounts> kNames{"clients", "boxes",     "discovery",
+                                                              "control", "telemetry", "own"};
+  return kNames[static_cast<std::size_t>(account)];
+}
+
+const char* nameOf(Level level) {
+  return level == Level::kNormal ? "normal" : level == Level::kTight ? "tight" : "exhausted";
+}
+
+Ledger::Shares Ledger::sharesOf(std::size_t limit) {
+  const std::size_t rest = limit > kFixed ? limit - kFixed : 0;
+  Shares shares;
+  shares.limit = limit;
+  shares.most = {rest / 2, rest - rest / 2, kDiscovery,
+                 kControl, kTelemetry,      kFixed - kDiscovery - kControl - kTelemetry};
+  return shares;
+}
+
+bool Ledger::take(Account account) {
+  if (!may(account)) {
+    ++refused_[at(account)];
+    return false;
+  }
+  force(account);
+  return true;
+}
+
+void Ledger::force(Account account) {
+  ++held_[at(account)];
+  ++total_;
+}
+
+void Ledger::give(Account account) {
+  if (held_[at(account)] == 0) return;
+  --held_[at(account)];
+  --total_;
+}
+
+void Ledger::ranOut(double nowMs) { outUntilMs_ = nowMs + kOutMs; }
+
+// By whichever is fuller: the process, or the clients' share of it. With hysteresis, or each close would flip
+// it.
+Level Ledger::level(double nowMs) {
+  const auto part = [](std::size_t held, std::size_t most) {
+    return most == 0 ? 1.0 : static_cast<double>(held) / static_cast<double>(most);
+  };
+  const double full = std::max(part(total_, shares_.limit),
+                               part(held(Account::kClients), shares_.most[at(Account::kClients)]));
+  if (nowMs < outUntilMs_ || full >= kExhaustedFrom) level_ = Level::kExhausted;
+  else if (level_ == Level::kExhausted && full >= kExhaustedUntil) level_ = Level::kExhausted;
+  else if (full >= kTightFrom || (level_ != Level::kNormal && full >= kTightUntil)) level_ = Level::kTight;
+  else level_ = Level::kNormal;
+  return level_;
+}
+
+}  // namespace dahliastall::admission
--- /dev/null
+++ b/src/app/admission_watch.h
@@ -0,0 +1,32 @@
+// Says in the log and to operators what the gate and the ledger do. Its output never grows with a flood: at
+// most a line a second, and a report of bounded length.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+
+#include "admission/gate.h"
+#include "app/conductor_app.h"
+
+namespace dahliastall::app {
+
+class AdmissionWatch {
+ public:
+  AdmissionWatch(Engine& engine, admission::Gate* gate);
+  ~AdmissionWatch();
+
+  // Empty without a gate.
+  std::string report();
+
+ private:
+  void tick();
+
+  Engine& engine_;
+  admission::Gate* gate_;
+  std::array<std::uint64_t, admission::kReasons> said_{};
+  admission::Level level_ = admission::Level::kNormal;
+  std::optional<core::Deadlines::Key> next_;
+};
+
+}  // namespace dahliastall::app
--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -1,10 +1,12 @@
 #include "app/conductor_app.h"
 
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <csignal>
 
+#include "app/admission_watch.h"
 #include "app/operations.h"
 #include "app/otlp.h"
 #include "net/line_door.h"
@@ -25,6 +27,8 @@
 // share of it: a peer that was stopped just before may be down, and streams that are open then move to the
 // others.
 constexpr double kLongestDeadlineMs = 3'000, kBeyondDeadlineMs = 700, kDoorShare = 0.58;
+// Log, loop, timer, signals, listeners, the spare one, and what is shared with another process.
+constexpr std::size_t kOwnDescriptors = 14;
 constexpr std::uint64_t kAnswerBytes = 16 << 20;  // of a box's answer, far above the longest stream
 
 void letReloadsThrough() {
@@ -49,9 +53,10 @@
 
 Engine::Engine(boost::asio::io_context& context, const core::Clock& time,
                const leverrelay::wire::Setup& setup, std::uint64_t seed, std::size_t boxConnections,
-               double idleCloseMs, fronts::BoxDialect dialect)
+               double idleCloseMs, fronts::BoxDialect dialect, std::size_t descriptors)
     : io(context),
       clock(time),
+      ledger(admission::Ledger::sharesOf(descriptors)),
       loop(io, clock, deadlines),
       conductor(setup.settings, seed, clock, deadlines, counters),
       membership(seed),
@@ -61,6 +66,8 @@
       boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters,
             core::toMs(setup.settings.contract.releaseWithin) + kReleaseExtraMs),
       signals_(io, SIGTERM, SIGINT, SIGUSR1) {
+  for (std::size_t i = 0; i < kOwnDescriptors; ++i) ledger.force(admission::Account::kOwn);
+  pool.accountTo(ledger, admission::Account::kBoxes);
   signals_.add(SIGHUP);
   conductor.onLog([](const std::string& text) { spdlog::info("module: {}", text); });
 }
@@ -129,16 +136,33 @@
 
 std::unique_ptr<OtlpExporter> exporterFor(Engine& engine, const Telemetry& telemetry) {
   if (!telemetry.collector) return nullptr;
-  return std::make_unique<OtlpExporter>(engine.io, engine.clock, engine.deadlines, engine.counters,
-                                        *telemetry.collector, telemetry.intervalMs);
+  auto exporter = std::make_unique<OtlpExporter>(engine.io, engine.clock, engine.deadlines, engine.counters,
+                                                 *telemetry.collector, telemetry.intervalMs);
+  exporter->accountTo(engine.ledger);
+  return exporter;
 }
 
 std::unique_ptr<net::LineDoor> doorFor(const std::optional<net::Endpoint>& address, Operations& operations,
                                        Engine& engine) {
   if (!address) return nullptr;
-  return std::make_unique<net::LineDoor>(
+  auto door = std::make_unique<net::LineDoor>(
       engine.io, *address, [&operations](std::string_view line) { return control::answer(operations, line); },
       engine.clock, engine.deadlines, engine.counters);
+  door->accountTo(engine.ledger);
+  return door;
+}
+
+// As many as the configuration says, and no more than the system gives.
+std::size_t descriptorsOf(std::size_t configured) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
+  if (limit.rlim_cur < configured && limit.rlim_cur < limit.rlim_max) {
+    limit.rlim_cur = std::min<rlim_t>(configured, limit.rlim_max);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  if (limit.rlim_cur < configured)
+    spdlog::warn("sockets are {}, but the system gives {} descriptors", configured, limit.rlim_cur);
+  return std::min<std::size_t>(configured, limit.rlim_cur);
 }
 
 std::unique_ptr<SharedFolder> folderFor(const Config& config) {
@@ -164,21 +188,22 @@
 void serve(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread) {
   boost::asio::io_context io;
   const core::SystemClock clock;
-  Engine engine(io, clock, config.setup, config.seed, config.limits.boxes(), config.idleCloseMs,
-                fronts::platformDialect());
+  const Limits limits{descriptorsOf(config.limits.sockets)};
+  Engine engine(io, clock, config.setup, config.seed, limits.boxes(), config.idleCloseMs,
+                fronts::platformDialect(), limits.sockets);
   fronts::PlatformFront front(engine.conductor, config.setup.names, engine.clock, engine.counters);
   fronts::Discovery discovery(engine.io, engine.clock, engine.deadlines, engine.counters, engine,
                               engine.directory, engine.pool, config.setup.names);
+  discovery.accountTo(engine.ledger);
   if (!config.known.is_null()) discovery.known(config.known);
   discovery.watch(config.discovery);
   const auto exporter = exporterFor(engine, telemetry);
-  net::Listener listener(engine.io, config.listen, config.limits.clients(), front, engine.clock,
-                         engine.deadlines, engine.counters,
-                         {.sharedPort = config.admin.has_value(), .open = false});
+  net::Listener listener(
+      engine.io, config.listen, limits.clients(), front, engine.clock, engine.deadlines, engine.counters,
+      {.sharedPort = config.admin.has_value(), .open = false, .gate = nullptr, .ledger = &engine.ledger});
   front.readyWhen([&listener] { return !listener.evacuated(); });
-  Operations operations(
-      {engine, listener, config.setup, config.limits, [&] { return discovery.spoken(); }, front},
-      folderFor(config));
+  Operations operations({engine, listener, config.setup, limits, [&] { return discovery.spoken(); }, front},
+                        folderFor(config));
   const auto door = doorFor(config.admin, operations, engine);
   sayListening(config.name, listener);
   operations.start();
@@ -224,22 +249,40 @@
   fronts::OperatorFile site = first;
   boost::asio::io_context io;
   const core::SystemClock clock;
-  const Limits limits{site.sockets};
+  const Limits limits{descriptorsOf(site.sockets)};
   Engine engine(io, clock, site.setup, site.seed, limits.boxes(), site.idleCloseMs,
-                fronts::openaiDialect(site));
+                fronts::openaiDialect(site), limits.sockets);
+  std::unique_ptr<admission::Gate> gate;
+  if (site.admission) {
+    if (site.admission->total > fronts::mostAdmitted(limits.sockets))
+      throw ConfigError("admission.connections.total cannot be met: the system gives only " +
+                        std::to_string(limits.sockets) + " descriptors");
+    gate = std::make_unique<admission::Gate>(*site.admission);
+  }
   engine.directory = site.directory;
   engine.list(site.boxes);
   fronts::OpenAiFront front(engine.conductor, site, engine.clock, engine.counters, fronts::randomIds());
   const auto exporter = exporterFor(engine, telemetry);
   net::Listener listener(engine.io, site.listen, limits.clients(), front, engine.clock, engine.deadlines,
-                         engine.counters, {.sharedPort = false, .open = false});
+                         engine.counters,
+                         {.sharedPort = false, .open = false, .gate = gate.get(), .ledger = &engine.ledger});
   front.readyWhen([&listener] { return !listener.evacuated(); });
   Operations operations({engine, listener, site.setup, limits, [] { return true; }, front}, nullptr);
+  AdmissionWatch watch(engine, gate.get());
+  operations.admissionBy(watch);
   const auto door = doorFor(site.admin, operations, engine);
   sayListening("chat API", listener);
   operations.start();
   engine.run(listener, {kDoorOpenMs, std::nullopt, {}, {}}, [&] {
-    takeOver(reread(), site, engine);
+    fronts::OperatorFile fresh = reread();
+    if (fresh.admission.has_value() != site.admission.has_value()) {
+      spdlog::warn("SIGHUP: admission is switched on or off with the next start only");
+      fresh.admission = site.admission;
+    }
+    if (fresh.admission && fresh.admission->total > fronts::mostAdmitted(limits.sockets))
+      throw ConfigError("admission.connections.total is over what the descriptors of this process allow");
+    takeOver(std::move(fresh), site, engine);
+    if (gate) listener.close(gate->reconfigure(*site.admission, engine.clock.nowMs()));
     spdlog::info("SIGHUP: {} boxes, {} models, {} keys", site.boxes.entries.size(), site.models.size(),
                  site.keys.size());
   });
--- a/src/app/conductor_app.h
+++ b/src/app/conductor_app.h
@@ -22,7 +22,8 @@
 class Engine final : public core::ListSink {
  public:
   Engine(boost::asio::io_context& context, const core::Clock& time, const leverrelay::wire::Setup& setup,
-         std::uint64_t seed, std::size_t boxConnections, double idleCloseMs, fronts::BoxDialect dialect);
+         std::uint64_t seed, std::size_t boxConnections, double idleCloseMs, fronts::BoxDialect dialect,
+         std::size_t descriptors = 1024);
 
   struct Ending {
     double doorOpenMs;                // new requests are served so long after the signal
@@ -46,6 +47,7 @@
   const core::Clock& clock;
   core::Deadlines deadlines;
   core::Counters counters;
+  admission::Ledger ledger;
   net::Loop loop;
   core::Conductor conductor;
   fleet::Membership membership;
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "app/admission_watch.h"
 #include "app/conductor_app.h"
 #include "app/config.h"
 #include "app/handover.h"
@@ -29,6 +30,8 @@
   Operations(Parts parts, std::unique_ptr<SharedFolder> folder);
   ~Operations() override;
 
+  void admissionBy(AdmissionWatch& watch) { admission_ = &watch; }
+
   // Opens the listener: at once where nobody serves, else as soon as the list is known.
   void start();
   // Whether another process serves at the same address, so that nothing is lost if this one closes its door.
@@ -44,6 +47,7 @@
   const core::Figures& figures() override { return parts_.engine.conductor.figures(); }
   std::size_t open() override { return parts_.engine.conductor.open(); }
   Pool pool() override;
+  std::string admission() override { return admission_ == nullptr ? "" : admission_->report(); }
   const std::vector<std::string>& classes() override { return parts_.setup.names.classes; }
 
  private:
@@ -61,6 +65,7 @@
   Handover handover_;
   std::unique_ptr<PassingReceiver> receiver_;
   SharedFolder::Others others_;
+  AdmissionWatch* admission_ = nullptr;
   std::optional<core::Deadlines::Key> next_;
   double startedMs_;
 };
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -68,17 +68,22 @@
   if (words.empty()) return line({false, "an empty line"});
   const std::string& call = words.front();
   const bool named = call == "exclude" || call == "include";
-  if (words.size() != (named ? 2U : 1U) &&
-      (named || call == "readyz" || call == "telemetry" || call == "evacuate" || call == "activate"))
+  if (words.size() != (named ? 2U : 1U) && (named || call == "readyz" || call == "telemetry" ||
+                                            call == "evacuate" || call == "activate" || call == "admission"))
     return line({false, call + (named ? " takes one instance's id" : " takes nothing")});
   if (call == "readyz") return line(service.ready());
   if (call == "telemetry") return telemetry(service) + "eof\n";
+  if (call == "admission") {
+    const std::string report = service.admission();
+    return report.empty() ? line({false, "no admission rules are set up here"}) : report + "eof\n";
+  }
   if (call == "exclude") return line(service.exclude(words[1]));
   if (call == "include") return line(service.include(words[1]));
   if (call == "evacuate") return line(service.evacuate());
   if (call == "activate") return line(service.activate());
   return line(
-      {false, "unknown call; known are readyz, telemetry, exclude ID, include ID, evacuate, activate"});
+      {false,
+       "unknown call; known are readyz, telemetry, exclude ID, include ID, evacuate, activate, admission"});
 }
 
 }  // namespace dahliastall::control
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -167,6 +167,7 @@
   try {
     if (get && target == "/-/ready") return answerReady(*connection);
     const ApiKey& key = allowed(request);
+    if (!key.name.empty()) connection->identify(key.name);
     if (request.method() == http::verb::post && target == kChat)
       return chat(connection, request, key, arrivedMs);
     if (get && (target == kModels || target.rfind(std::string(kModels) + "/", 0) == 0))
@@ -254,6 +255,21 @@
   connection.answer(error.status, std::move(fields), error.text());
 }
 
+std::string OpenAiFront::turnedAway(unsigned status, std::string_view why, double retryAfterMs) const {
+  const bool much = status == 429;
+  const ApiError error{
+      status, std::string(why), much ? "rate_limit_error" : "server_error", {}, "too_many_connections"};
+  const std::string body = error.text();
+  return net::headText(
+             "HTTP/1.1 " + std::to_string(status) + (much ? " Too Many Requests" : " Service Unavailable"),
+             {{"Content-Type", "application/json"},
+              {"Connection", "close"},
+              {"X-Should-Retry", "true"},
+              {"Retry-After", std::to_string(static_cast<long>(std::ceil(retryAfterMs / 1000)))},
+              {"Content-Length", std::to_string(body.size())}}) +
+         body;
+}
+
 void OpenAiFront::reject(net::ClientConnection& connection, unsigned status, std::string_view why) {
   refuse(connection, {status, std::string(why), "invalid_request_error", {}, {}});
 }
--- a/src/fronts/openai/openai_front.h
+++ b/src/fronts/openai/openai_front.h
@@ -24,6 +24,7 @@
   void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&& request,
                double arrivedMs) override;
   void reject(net::ClientConnection& connection, unsigned status, std::string_view why) override;
+  std::string turnedAway(unsigned status, std::string_view why, double retryAfterMs) const override;
 
  private:
   class Answer;
--- a/src/fronts/openai/operator_file.cpp
+++ b/src/fronts/openai/operator_file.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 
+#include "admission/ledger.h"
 #include "app/settings_json.h"
 
 namespace dahliastall::fronts {
@@ -29,7 +31,10 @@
 
 void readKeys(const json& file, OperatorFile& to) {
   for (const json& entry : file.at("keys")) {
-    const ApiKey key{entry.value("tenant", ""), entry.value("class", "")};
+    const ApiKey key{entry.value("tenant", ""), entry.value("class", ""), entry.value("name", "")};
+    if (!key.name.empty() && std::any_of(to.keys.begin(), to.keys.end(),
+                                         [&](const auto& other) { return other.second.name == key.name; }))
+      throw std::invalid_argument("keys: the name " + key.name + " stands twice");
     if (!key.tenant.empty() && !among(to.setup.names.tenants, key.tenant))
       throw std::invalid_argument("keys: " + key.tenant + " is not a tenant of the settings");
     if (!key.cls.empty() && !among(to.setup.names.classes, key.cls))
@@ -64,6 +69,13 @@
 
 }  // namespace
 
+// A few of the clients' descriptors are left to refusals that are being read.
+std::size_t mostAdmitted(std::size_t sockets) {
+  constexpr std::size_t kForRefusals = 16;
+  const admission::Ledger::Shares shares = admission::Ledger::sharesOf(sockets);
+  return shares.most[static_cast<std::size_t>(admission::Account::kClients)] - kForRefusals;
+}
+
 OperatorFile operatorFileOf(const json& file) {
   OperatorFile to;
   to.listen = endpointOf(file.at("listen").get<std::string>());
@@ -84,6 +96,12 @@
   }
   if (to.models.empty()) throw std::invalid_argument("models: there is none to ask for");
   readBoxes(file, to);
+  if (file.contains("admission")) {
+    std::set<std::string> names;
+    for (const auto& [text, key] : to.keys)
+      if (!key.name.empty()) names.insert(key.name);
+    to.admission = admission::rulesOf(file.at("admission"), names, mostAdmitted(to.sockets));
+  }
   return to;
 }
 
--- a/src/fronts/openai/operator_file.h
+++ b/src/fronts/openai/operator_file.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/rules.h"
 #include "fronts/boxes/directory.h"
 #include "wire.h"
 
@@ -14,7 +15,8 @@
 
 struct ApiKey {
   std::string tenant;
-  std::string cls;  // empty: by the model
+  std::string cls;   // empty: by the model
+  std::string name;  // by which the rest of the file speaks of it; empty: none
 };
 
 struct OperatorFile {
@@ -30,8 +32,12 @@
   leverrelay::wire::Setup setup;
   leverrelay::ListNews boxes;
   Directory directory;
+  std::optional<admission::Rules> admission;  // none: whoever finds room may connect
 };
 
+// How many clients the gate may let in where so many descriptors may be open.
+std::size_t mostAdmitted(std::size_t sockets);
+
 // Throws std::invalid_argument with a plain complaint, or json::exception or wire::Malformed.
 OperatorFile operatorFileOf(const nlohmann::json& file);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <iostream>
 #include <string>
@@ -20,6 +21,7 @@
     "\n"
     "  serve          run a conductor: on the platform, or with --operator at a small site\n"
     "  check-config   read the configuration, say whether it can be used, and end\n"
+    "  admission      'admission explain' says which rules of an operator's file apply to whom, and why\n"
     "  version        print the version\n"
     "  help           print this\n"
     "\n"
@@ -80,16 +82,49 @@
             << config.setup.settings.kinds.size() << " kinds of box\n";
 }
 
+options::options_description describeExplain() {
+  options::options_description known("options of admission explain");
+  auto add = known.add_options();
+  add("operator", options::value<std::string>()->required(), "the operator's file");
+  add("address", options::value<std::string>()->required(), "of a client, like 10.1.2.3");
+  add("key-name", options::value<std::string>(), "the name of the API key that it sends");
+  return known;
+}
+
+void explainAdmission(std::vector<std::string> words) {
+  if (words.empty() || words.front() != "explain")
+    throw app::ConfigError("the command is 'admission explain --operator FILE --address A [--key-name K]'");
+  words.erase(words.begin());
+  options::variables_map given;
+  options::store(options::command_line_parser(words).options(describeExplain()).positional({}).run(), given);
+  options::notify(given);
+  const auto site = fronts::operatorFileOf(app::readJson(given["operator"].as<std::string>()));
+  const auto text = given["address"].as<std::string>();
+  const auto address = admission::Address::parse(text);
+  if (!address) throw app::ConfigError("--address: '" + text + "' is no IPv4 or IPv6 address");
+  std::optional<std::string> key;
+  if (given.count("key-name") != 0) {
+    key = given["key-name"].as<std::string>();
+    const bool there = std::any_of(site.keys.begin(), site.keys.end(),
+                                   [&](const auto& entry) { return entry.second.name == *key; });
+    if (!there) throw app::ConfigError("--key-name: no entry of `keys` has the name '" + *key + "'");
+  }
+  if (site.admission) std::cout << admission::explain(*site.admission, *address, key);
+  else std::cout << "the file has no `admission`: whoever finds room may connect\n";
+}
+
 int run(const std::vector<std::string>& words) {
   const std::string command = words.empty() ? "help" : words.front();
   const std::vector<std::string> rest(words.begin() + (words.empty() ? 0 : 1), words.end());
   if (command == "serve" || command == "check-config") {
     if (command == "serve") app::holdReloads();
     serveOrCheck(parse(rest), command == "check-config");
+  } else if (command == "admission") {
+    explainAdmission(rest);
   } else if (command == "version" || command == "--version") {
     std::cout << "dahliastall " << DAHLIASTALL_VERSION << '\n';
   } else if (command == "help" || command == "--help") {
-    std::cout << kUsage << describe();
+    std::cout << kUsage << describe() << describeExplain();
   } else {
     std::cerr << "dahliastall: no command '" << command << "'\n\n" << kUsage << describe();
     return 2;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <cmath>
 #include <utility>
 
 namespace dahliastall::net {
@@ -39,6 +40,14 @@
 
 }  // namespace
 
+std::string RequestHandler::turnedAway(unsigned status, std::string_view why, double retryAfterMs) const {
+  Fields fields{{"Content-Type", "text/plain"}, {"Connection", "close"}};
+  fields.emplace_back("Retry-After", std::to_string(static_cast<long>(std::ceil(retryAfterMs / 1000))));
+  fields.emplace_back("Content-Length", std::to_string(why.size() + 1));
+  return headText("HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonFor(status)), fields) +
+         std::string(why) + "\n";
+}
+
 ClientConnection::ClientConnection(boost::asio::ip::tcp::socket socket, RequestHandler& handler, Owner& owner,
                                    const core::Clock& clock, core::Deadlines& deadlines)
     : socket_(std::move(socket)), handler_(handler), owner_(owner), clock_(clock), deadlines_(deadlines) {}
@@ -70,6 +79,7 @@
 void ClientConnection::takeUp(const Rest& rest) {
   connected_ = idleSince_ = firstByte_ = clock_.nowMs();
   asked_ = true;
+  owner_.asks(*this);
   keepAlive_ = rest.keepAlive;
   state_ = State::kStreaming;
   buffer_.commit(
@@ -88,6 +98,10 @@
   if (room() != Room::kNone) shut();
 }
 
+void ClientConnection::evict() {
+  if (state_ == State::kIdle || state_ == State::kReading) shut();
+}
+
 // ---- Reading ---------------------------------------------------------------------------------------
 
 void ClientConnection::read() {
@@ -98,6 +112,7 @@
   if (buffer_.size() > 0) {  // the next request came early; its time counts from here
     firstByte_ = clock_.nowMs();
     state_ = State::kReading;
+    if (asked_) owner_.asks(*this);
   }
   const auto self = shared_from_this();
   const auto whole = [self](const boost::system::error_code& error, std::size_t) { self->onRead(error); };
@@ -115,6 +130,7 @@
                             self->buffer_.commit(count);
                             self->firstByte_ = self->clock_.nowMs();
                             self->state_ = State::kReading;
+                            if (self->asked_) self->owner_.asks(*self);
                             begin();
                           });
 }
@@ -135,6 +151,7 @@
   if (error) return refuseInput(error);
   if (!framedPlainly(parser_->get())) return refuseInput(http::error::bad_transfer_encoding);
   asked_ = true;
+  owner_.asks(*this);
   keepAlive_ = parser_->keep_alive();
   state_ = State::kAnswering;
   HttpRequest request = parser_->release();
@@ -273,6 +290,7 @@
   if (refused_) return linger();
   if (!keepAlive_) return shut();
   idleSince_ = clock_.nowMs();
+  owner_.rests(*this);
   // The watch on the answered request must not take the next one's bytes for a close; it ends by itself.
   if (owner_.draining() && buffer_.size() == 0) return shut();
   read();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -33,6 +33,8 @@
   virtual void drained(ClientConnection& connection) = 0;  // after pass() said to wait
   // What is not to be understood as a request; the connection closes after the answer.
   virtual void reject(ClientConnection& connection, unsigned status, std::string_view why) = 0;
+  // The whole answer for a connection that is turned away before it has said anything.
+  virtual std::string turnedAway(unsigned status, std::string_view why, double retryAfterMs) const;
 };
 
 class ClientConnection final : public std::enable_shared_from_this<ClientConnection> {
@@ -43,12 +45,19 @@
     virtual ~Owner() = default;
     virtual void closed(const std::shared_ptr<ClientConnection>& connection) = 0;
     virtual bool draining() const = 0;
+    virtual void asks(ClientConnection&) {}                            // a request of it is open
+    virtual void rests(ClientConnection&) {}                           // none is any more
+    virtual void identified(ClientConnection&, const std::string&) {}  // a request carried this client's key
   };
 
   ClientConnection(boost::asio::ip::tcp::socket socket, RequestHandler& handler, Owner& owner,
                    const core::Clock& clock, core::Deadlines& deadlines);
 
+  // For the owner's own use.
+  std::uint64_t number = 0;
+
   void start();
+  void identify(const std::string& who) { owner_.identified(*this, who); }
   State state() const { return state_; }
   double idleSinceMs() const { return idleSince_; }
   // Whether it may be closed to make room: no request of it is open. Those come first that never sent a whole
@@ -62,9 +71,9 @@
     std::string ahead;  // read of the next requests
     bool keepAlive = true;
   };
-  std::optional<Rest> rest();  // nothing while anything waits to be written
-  void leave();                      // lets go of a connection that another process has now
-  void takeUp(const Rest& rest);     // instead of start()
+  std::optional<Rest> rest();     // nothing while anything waits to be written
+  void leave();                   // lets go of a connection that another process has now
+  void takeUp(const Rest& rest);  // instead of start()
 
   void answer(unsigned status, Fields fields, std::string_view body);
   void beginStream(Fields fields);
@@ -73,6 +82,7 @@
   void breakOff();   // closes without a last chunk
   void closeIdle();  // closes between two requests, unless one has come already or may be about to
   void giveWay();    // closes what room() named
+  void evict();      // closes unless a request is open
 
  private:
   void read();
--- a/src/net/line_door.cpp
+++ b/src/net/line_door.cpp
@@ -32,6 +32,7 @@
     door.deadlines_.cancel(limit_);
     boost::system::error_code ignored;
     socket_.close(ignored);
+    if (door.ledger_ != nullptr) door.ledger_->give(admission::Account::kControl);
     door.calls_.remove(shared_from_this());
   }
 
@@ -116,6 +117,7 @@
       ++counters_["door.made_room"];
       calls_.front()->shut();
     }
+    if (ledger_ != nullptr) ledger_->force(admission::Account::kControl);
     calls_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
     calls_.back()->start();
     accept();
--- a/src/net/line_door.h
+++ b/src/net/line_door.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "admission/ledger.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/deadlines.h"
@@ -36,6 +37,7 @@
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t size() const { return calls_.size(); }
+  void accountTo(admission::Ledger& ledger) { ledger_ = &ledger; }
 
  private:
   class Caller;
@@ -51,6 +53,7 @@
   Limits limits_;
   std::list<std::shared_ptr<Caller>> calls_;  // in the order they came
   std::optional<core::Deadlines::Key> pause_;
+  admission::Ledger* ledger_ = nullptr;
 };
 
 }  // namespace dahliastall::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,22 +1,96 @@
 #include "net/listener.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
+#include <cerrno>
 #include <vector>
 
 namespace dahliastall::net {
 
+using admission::Address;
+
 namespace {
 
 constexpr double kAcceptPauseMs = 20;  // after accept failed, as when descriptors ran out
 // After an evacuation the front layer learns within 0.1 s that it is to stop and sends for 0.2 s more: idle
 // connections are left until then, and looked at again as others fall idle.
+constexpr std::size_t kRefusals = 64;  // read by their clients at a time; beyond, a refusal is a close
+constexpr double kRefusalMs = 300;
+constexpr int kOnSpare = 16;  // turned away on the spare descriptor before the next pause
 constexpr double kFrontLearnsMs = 400, kSweepMs = 200;
 
+Address addressOf(const boost::asio::ip::tcp::endpoint& peer) {
+  Address address;
+  const auto six = peer.address().is_v6()
+                       ? peer.address().to_v6()
+                       : boost::asio::ip::make_address_v6(boost::asio::ip::v4_mapped, peer.address().to_v4());
+  const auto bytes = six.to_bytes();
+  std::copy(bytes.begin(), bytes.end(), address.bytes.begin());
+  return address;
+}
+
+// Closing with input unread resets the connection and takes the refusal from the client's hands: what has
+// come by now is read first, up to a bound.
+void closeReadingAll(int descriptor) {
+  std::array<char, 4096> dropped{};
+  for (int i = 0; i < 16 && ::recv(descriptor, dropped.data(), dropped.size(), MSG_DONTWAIT) > 0; ++i) {
+  }
+  ::close(descriptor);
+}
+
+unsigned statusFor(admission::Reason reason) {
+  return reason == admission::Reason::kRate || reason == admission::Reason::kAddress ||
+                 reason == admission::Reason::kNetwork
+             ? 429
+             : 503;
+}
+
 }  // namespace
 
+// Who was turned away reads why: closing at once, with the request unread, would reset that out of its hands.
+class Listener::Refusal final : public std::enable_shared_from_this<Refusal> {
+ public:
+  Refusal(Listener& owner, boost::asio::ip::tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)) {}
+
+  void start() {
+    limit_ = owner_->deadlines_.add(owner_->clock_.nowMs() + kRefusalMs, [self = shared_from_this()] {
+      self->limit_.reset();
+      self->shut();
+    });
+    read();
+  }
+  void shut() {
+    if (owner_ == nullptr) return;
+    Listener& owner = *std::exchange(owner_, nullptr);
+    owner.deadlines_.cancel(limit_);
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (owner.ledger_ != nullptr) owner.ledger_->give(admission::Account::kClients);
+    owner.refusals_.erase(shared_from_this());
+  }
+
+ private:
+  void read() {
+    socket_.async_read_some(boost::asio::buffer(dropped_),
+                            [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+                              if (self->owner_ == nullptr) return;
+                              if (error) return self->shut();
+                              self->read();
+                            });
+  }
+
+  Listener* owner_;
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, 1024> dropped_{};
+  std::optional<core::Deadlines::Key> limit_;
+};
+
 Listener::Listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                    std::size_t cap, RequestHandler& handler, const core::Clock& clock,
                    core::Deadlines& deadlines, core::Counters& counters, Options options)
@@ -26,7 +100,10 @@
       handler_(handler),
       clock_(clock),
       deadlines_(deadlines),
-      counters_(counters) {
+      counters_(counters),
+      gate_(options.gate),
+      ledger_(options.ledger),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {
   acceptor_.open(address.protocol());
   acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
   if (options.sharedPort) {
@@ -37,6 +114,11 @@
   if (options.open) open();
 }
 
+Listener::~Listener() {
+  while (!refusals_.empty()) (*refusals_.begin())->shut();
+  if (spare_ >= 0) ::close(spare_);
+}
+
 void Listener::open() {
   if (opened_ || doorClosed_) return;
   acceptor_.listen();
@@ -46,31 +128,113 @@
 
 void Listener::accept() {
   if (accepting_ || !isOpen()) return;
-  if (connections_.size() >= cap_) makeRoom();
-  if (connections_.size() >= cap_) {  // closed() accepts again, and so does time, which makes more give way
+  // With a gate nobody waits in the queue behind a flood: all are let in or turned away.
+  if (gate_ == nullptr && connections_.size() >= cap_) makeRoom();
+  if (gate_ == nullptr &&
+      connections_.size() >= cap_) {  // closed() accepts again, and so does time, which makes more give way
     deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] { accept(); });
     return;
   }
   accepting_ = true;
   acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
     accepting_ = false;
-    if (error) {
-      if (!doorClosed_) deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] { accept(); });
-      return;
-    }
+    if (error) return failed(error);
     admit(std::move(socket));  // also if the door has closed since: its client was let in before
     accept();
   });
 }
 
+// A client that has gone already is no failure of the listener; all others pass with time. Never a busy loop.
+void Listener::failed(const boost::system::error_code& error) {
+  if (doorClosed_) return;
+  if (error == boost::asio::error::connection_aborted || error == boost::asio::error::interrupted)
+    return accept();
+  ++counters_["clients.accept_failed"];
+  if (error == boost::asio::error::no_descriptors || error.value() == ENFILE) {
+    if (ledger_ != nullptr) ledger_->ranOut(clock_.nowMs());
+    turnAwayOnSpare();
+  }
+  deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] { accept(); });
+}
+
+// Guards clients against waiting in the queue of a process that cannot take them: each is told so.
+void Listener::turnAwayOnSpare() {
+  const std::string text = handler_.turnedAway(503, "no descriptor is left for another connection", 1000);
+  for (int i = 0; i < kOnSpare && spare_ >= 0; ++i) {
+    ::close(std::exchange(spare_, -1));
+    const int taken = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (taken >= 0) {
+      ++counters_["admission.refused.descriptors"];
+      [[maybe_unused]] const auto sent = ::send(taken, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      closeReadingAll(taken);
+    }
+    spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+    if (taken < 0) return;
+  }
+}
+
 void Listener::admit(boost::asio::ip::tcp::socket socket) {
+  if (gate_ == nullptr) return letIn(std::move(socket), 0);
+  boost::system::error_code error;
+  const auto peer = socket.remote_endpoint(error);
+  if (error) return;  // it has gone already
+  const double now = clock_.nowMs();
+  const auto level = ledger_ != nullptr ? ledger_->level(now) : admission::Level::kNormal;
+  const admission::Decision decision = gate_->connect(addressOf(peer), level, now);
+  if (decision.giveWay) close({*decision.giveWay});
+  if (!decision.admit) return refuse(std::move(socket), decision);
+  letIn(std::move(socket), decision.visitor);
+}
+
+void Listener::refuse(boost::asio::ip::tcp::socket socket, const admission::Decision& decision) {
+  const char* why = admission::nameOf(decision.reason);
+  ++counters_[std::string("admission.refused.") + why];
+  if (refusals_.size() >= kRefusals || (ledger_ != nullptr && !ledger_->take(admission::Account::kClients))) {
+    ++counters_["admission.closed_unanswered"];
+    return;
+  }
+  const std::string text = handler_.turnedAway(
+      statusFor(decision.reason), std::string("too many connections: ") + why, decision.retryAfterMs);
+  [[maybe_unused]] const auto sent =
+      ::send(socket.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  boost::system::error_code ignored;
+  socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  const auto refusal = std::make_shared<Refusal>(*this, std::move(socket));
+  refusals_.insert(refusal);
+  refusal->start();
+}
+
+void Listener::letIn(boost::asio::ip::tcp::socket socket, admission::Visitor visitor) {
   ++counters_["clients.accepted"];
+  if (ledger_ != nullptr) ledger_->force(admission::Account::kClients);
   const auto connection =
       std::make_shared<ClientConnection>(std::move(socket), handler_, *this, clock_, deadlines_);
+  connection->number = visitor;
+  if (visitor != 0) visitors_[visitor] = connection;
   connections_.insert(connection);
   connection->start();
 }
 
+void Listener::close(const std::vector<admission::Visitor>& visitors) {
+  for (const admission::Visitor visitor : visitors) {
+    const auto it = visitors_.find(visitor);
+    const auto connection = it == visitors_.end() ? nullptr : it->second.lock();
+    if (connection) connection->evict();
+  }
+}
+
+void Listener::asks(ClientConnection& connection) {
+  if (gate_ != nullptr) gate_->busy(connection.number);
+}
+
+void Listener::rests(ClientConnection& connection) {
+  if (gate_ != nullptr) gate_->rests(connection.number, clock_.nowMs());
+}
+
+void Listener::identified(ClientConnection& connection, const std::string& who) {
+  if (gate_ != nullptr) gate_->identified(connection.number, who, clock_.nowMs());
+}
+
 std::shared_ptr<ClientConnection> Listener::adopt(const ClientConnection::Rest& rest) {
   boost::asio::ip::tcp::socket socket(io_);
   boost::system::error_code error;
@@ -80,6 +244,7 @@
     return nullptr;
   }
   ++counters_["clients.adopted"];
+  if (ledger_ != nullptr) ledger_->force(admission::Account::kClients);
   const auto connection =
       std::make_shared<ClientConnection>(std::move(socket), handler_, *this, clock_, deadlines_);
   connections_.insert(connection);
@@ -91,7 +256,7 @@
 void Listener::emptyQueue() {
   boost::system::error_code error;
   acceptor_.non_blocking(true, error);
-  while (!error && connections_.size() < cap_) {
+  while (!error && (gate_ != nullptr || connections_.size() < cap_)) {
     boost::asio::ip::tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (!error) admit(std::move(socket));
@@ -116,6 +281,9 @@
 
 void Listener::closed(const std::shared_ptr<ClientConnection>& connection) {
   connections_.erase(connection);
+  visitors_.erase(connection->number);
+  if (gate_ != nullptr) gate_->closed(connection->number, clock_.nowMs());
+  if (ledger_ != nullptr) ledger_->give(admission::Account::kClients);
   finishIfDone();
   // Not from here: makeRoom() closes connections while accept() runs.
   boost::asio::post(io_, [this] { accept(); });
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -4,10 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 
+#include "admission/gate.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/deadlines.h"
@@ -18,8 +20,10 @@
 class Listener final : public ClientConnection::Owner {
  public:
   struct Options {
-    bool sharedPort = false;  // another process may listen on the same address at the same time
-    bool open = true;         // at once; else open() does it, and until then nobody can connect
+    bool sharedPort = false;              // another process may listen on the same address at the same time
+    bool open = true;                     // at once; else open() does it, and until then nobody can connect
+    admission::Gate* gate = nullptr;      // who may connect; none: whoever finds room
+    admission::Ledger* ledger = nullptr;  // of the process's descriptors
   };
 
   // Throws boost::system::system_error if the address cannot be listened on.
@@ -31,6 +35,8 @@
            core::Counters& counters)
       : Listener(io, address, cap, handler, clock, deadlines, counters, Options{}) {}
 
+  ~Listener() override;
+
   void open();
   bool isOpen() const { return opened_ && !doorClosed_; }
 
@@ -52,12 +58,22 @@
   void drain(double doorOpenMs, std::function<void()> done);
 
   void closed(const std::shared_ptr<ClientConnection>& connection) override;
+  void asks(ClientConnection& connection) override;
+  void rests(ClientConnection& connection) override;
+  void identified(ClientConnection& connection, const std::string& who) override;
+  // Closes those that a change of rules left no room for.
+  void close(const std::vector<admission::Visitor>& visitors);
+  std::size_t turningAway() const { return refusals_.size(); }
   bool draining() const override { return doorClosed_ || evacuated_; }
   std::size_t size() const { return connections_.size(); }
 
  private:
   void accept();
+  void failed(const boost::system::error_code& error);
   void admit(boost::asio::ip::tcp::socket socket);
+  void refuse(boost::asio::ip::tcp::socket socket, const admission::Decision& decision);
+  void turnAwayOnSpare();
+  void letIn(boost::asio::ip::tcp::socket socket, admission::Visitor visitor);
   void emptyQueue();
   void sweepIdle();
   void makeRoom();
@@ -73,6 +89,12 @@
   core::Counters& counters_;
   std::set<std::shared_ptr<ClientConnection>> connections_;
   std::function<void()> done_;
+  admission::Gate* gate_;
+  admission::Ledger* ledger_;
+  std::map<admission::Visitor, std::weak_ptr<ClientConnection>> visitors_;
+  class Refusal;
+  std::set<std::shared_ptr<Refusal>> refusals_;  // being read by their clients
+  int spare_ = -1;  // given up for a moment when the system has no descriptor left
   std::optional<core::Deadlines::Key> sweep_;
   bool opened_ = false, accepting_ = false, draining_ = false, doorClosed_ = false, evacuated_ = false;
 };
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -288,11 +288,12 @@
     call->begin(std::move(link), false);
     return true;
   }
-  if (open_ >= limits_.connections && !idle_.empty()) close(idle_.front());
-  if (open_ >= limits_.connections) return false;
+  if (!room() && !idle_.empty()) close(idle_.front());
+  if (!room()) return false;
   auto link = std::make_shared<Link>(io_);
   link->to = call->to_;
   ++open_;
+  if (ledger_ != nullptr) ledger_->take(account_);
   call->begin(std::move(link), true);
   return true;
 }
@@ -308,6 +309,7 @@
   }
   link->to = from;
   ++open_;
+  if (ledger_ != nullptr) ledger_->force(account_);
   const auto call = std::make_shared<Call>(*this, from, std::string(), nullptr, std::move(sink));
   call->link_ = std::move(link);
   call->takeUp(rest);
@@ -357,6 +359,7 @@
   link->socket.close(ignored);
   link->to = Endpoint();
   --open_;
+  if (ledger_ != nullptr) ledger_->give(account_);
   serveWaiting();
 }
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 
+#include "admission/ledger.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/deadlines.h"
@@ -133,6 +134,11 @@
   std::shared_ptr<Call> adopt(const Endpoint& from, const Call::Rest& rest, std::shared_ptr<CallSink> sink);
   void dropIdle(const Endpoint& to);
   void dialWithin(double ms) { limits_.dialMs = ms; }
+  // Where its descriptors are accounted for; what is open already is not.
+  void accountTo(admission::Ledger& ledger, admission::Account account) {
+    ledger_ = &ledger;
+    account_ = account;
+  }
   // Another cap from now on; idle connections above it close, busy ones end first.
   void capAt(std::size_t connections);
   bool hasIdle(const Endpoint& to) const;
@@ -143,6 +149,7 @@
   using Idle = std::list<std::shared_ptr<Link>>;  // in the order they fell idle
 
   bool admit(const std::shared_ptr<Call>& call);
+  bool room() const { return open_ < limits_.connections && (ledger_ == nullptr || ledger_->may(account_)); }
   std::shared_ptr<Link> takeIdle(const Endpoint& to);
   void give(std::shared_ptr<Link> link);
   void close(std::shared_ptr<Link> link);  // by value: the caller's may stand in the list it leaves
@@ -156,6 +163,8 @@
   Limits limits_;
   Idle idle_;
   std::deque<std::shared_ptr<Call>> waiting_;
+  admission::Ledger* ledger_ = nullptr;
+  admission::Account account_ = admission::Account::kBoxes;
   std::size_t open_ = 0;
   bool serving_ = false;
 };
