--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -16,13 +16,14 @@
 namespace {
 
 // A client that cannot ask is owed an error or a close within 3 s of connecting; with 60 MB to send, 6 s.
-constexpr double kFirstRequestMs = 2'000;         // for the first request to arrive whole, from connecting
-constexpr double kSlowInputMs = 2'000;            // for a later one, from its first byte
-constexpr double kIdleMs = 5'000;                 // between two requests: some clients keep theirs for good
-constexpr double kYoungMs = 100;                  // for a new connection before it has to give way
-constexpr double kSlowOutputMs = 30'000;          // without any progress of what is written
-constexpr double kBreakOffMs = 2'000;             // for what was passed on before a break; 5 s are allowed
-constexpr double kLingerMs = 500;                 // for a refused client to stop sending
+constexpr double kFirstRequestMs = 2'000;  // for the first request to arrive whole, from connecting
+constexpr double kSlowInputMs = 2'000;     // for a later one, from its first byte
+constexpr double kIdleMs = 5'000;          // between two requests: some clients keep theirs for good
+constexpr double kLastMs = 500;            // for the request of who connected just before the door closed
+constexpr double kYoungMs = 100;           // for a new connection before it has to give way
+constexpr double kSlowOutputMs = 30'000;   // without any progress of what is written
+constexpr double kBreakOffMs = 2'000;      // for what was passed on before a break; 5 s are allowed
+constexpr double kLingerMs = 500;          // for a refused client to stop sending
 constexpr std::size_t kLingerBytes = 256 * 1024;  // and as much as is read of it
 constexpr std::size_t kAheadLimit = 16 * 1024;    // bytes kept of requests ahead of their turn
 constexpr std::size_t kHighMark = 64 * 1024;      // bytes waiting for a slow reader before its stream is held
@@ -255,7 +256,7 @@
 // ago connected in order to ask.
 void ClientConnection::closeIdle() {
   if (state_ != State::kIdle) return;
-  if (!asked_ && clock_.nowMs() - connected_ < kYoungMs) return expire(kYoungMs);
+  if (!asked_ && clock_.nowMs() - connected_ < kYoungMs) return expire(kLastMs);
   // The read under way may have its bytes already, though its handler has not run: it says so when it is
   // called off.
   leaving_ = true;
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -368,6 +368,23 @@
   EXPECT_TRUE(stage.until([&] { return done; }));
 }
 
+// Who connected in the last moment may send in pieces: it has the time to.
+TEST(Successor, ARequestInPiecesOnAConnectionOfTheLastMomentIsServed) {
+  Clients stage;
+  RawPeer peer(stage.io);
+  peer.connect(stage.listener.address());
+  ASSERT_TRUE(stage.until([&] { return stage.listener.size() == 1; }));
+  stage.listener.drain(0, [] {});
+  peer.write(kAsk.substr(0, 10));
+  stage.io.poll();
+  stage.pass(300);
+  peer.write(kAsk.substr(10));
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 1; }));
+  stage.asked[0]->answer(200, {}, "served");
+  ASSERT_TRUE(stage.until([&] { return peer.ended(); }));
+  EXPECT_NE(peer.seen.find("served"), std::string::npos);
+}
+
 TEST(Successor, TwoListenersShareAPortAndOneWithoutLeaveIsRefused) {
   Clients stage;
   net::Listener first(stage.io, anyPort(), 10, stage, stage.clock, stage.deadlines, stage.counters,
