--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -373,11 +373,13 @@
 
 // A client at an address of its own within 127.0.0.0/8.
 struct Terminal {
-  Terminal(House& house, const std::string& from) : socket(house.io) {
+  Terminal(House& house, const std::string& from) : Terminal(house.io, house.listener.address(), from) {}
+  Terminal(boost::asio::io_context& io, const net::Endpoint& to, const std::string& from) : socket(io) {
+    boost::system::error_code ignored;  // a program that closes its door refuses
     socket.open(tcp::v4());
     socket.bind({boost::asio::ip::make_address(from), 0});
-    socket.connect(house.listener.address());
-    socket.non_blocking(true);
+    socket.connect(to, ignored);
+    socket.non_blocking(true, ignored);
   }
   void write(const std::string& bytes) {
     boost::system::error_code ignored;
@@ -394,6 +396,7 @@
     }
   }
   bool has(const std::string& text) { return ended(), seen.find(text) != std::string::npos; }
+  bool whole() { return has("[DONE]") && has("\r\n0\r\n\r\n"); }
   tcp::socket socket;
   std::string seen;
 };
@@ -612,44 +615,15 @@
   const pid_t program = programs.start({"serve", "--operator", folder.path + "/site.json"}, {});
   ASSERT_TRUE(stage.until([&] { return callDoor(stage.io, door, "readyz").rfind("ok", 0) == 0; }));
 
-  struct Caller {
-    Caller(boost::asio::io_context& io, const net::Endpoint& to, const std::string& from) : socket(io) {
-      socket.open(tcp::v4());
-      socket.bind({boost::asio::ip::make_address(from), 0});
-      boost::system::error_code ignored;
-      socket.connect(to, ignored);
-      socket.non_blocking(true, ignored);
-    }
-    void write(const std::string& bytes) {
-      boost::system::error_code ignored;
-      socket.write_some(boost::asio::buffer(bytes), ignored);
-    }
-    bool ended() {
-      boost::system::error_code error;
-      std::array<char, 4096> part{};
-      for (;;) {
-        const std::size_t count = socket.read_some(boost::asio::buffer(part), error);
-        if (error == boost::asio::error::would_block) return false;
-        if (error) return true;
-        seen.append(part.data(), count);
-      }
-    }
-    bool whole() {
-      return ended(),
-             seen.find("[DONE]") != std::string::npos && seen.find("\r\n0\r\n\r\n") != std::string::npos;
-    }
-    tcp::socket socket;
-    std::string seen;
-  };
   const std::string body = R"({"model":"ask","stream":true,"messages":[{"role":"user","content":"When?"}]})";
   const std::string ask =
       messageText("POST /v1/chat/completions HTTP/1.1", {{"Host", "x"}, {"Authorization", "Bearer k"}}, body);
-  std::deque<std::unique_ptr<Caller>> flood;
+  std::deque<std::unique_ptr<Terminal>> flood;
   int from = 0;
   const auto storm = [&] {  // each call is some of it
     for (int i = 0; i < 8; ++i) {
       flood.push_back(
-          std::make_unique<Caller>(stage.io, listen, "127.7.0." + std::to_string(1 + from++ % 20)));
+          std::make_unique<Terminal>(stage.io, listen, "127.7.0." + std::to_string(1 + from++ % 20)));
       flood.back()->write(from % 2 == 0 ? ask.substr(0, 30) : ask);
       if (flood.size() > 100) flood.pop_front();
     }
@@ -658,7 +632,7 @@
     stage.io.poll();
   };
   const auto knownIsServed = [&](int n) {
-    Caller known(stage.io, listen, "127.0.1." + std::to_string(1 + n % 200));
+    Terminal known(stage.io, listen, "127.0.1." + std::to_string(1 + n % 200));
     known.write(ask);
     const bool served = stage.until([&] { return known.whole() || known.ended(); }) && known.whole();
     if (!served) ADD_FAILURE() << known.seen;
@@ -669,9 +643,9 @@
     ASSERT_TRUE(knownIsServed(i)) << i;
   }
   hold = true;
-  std::vector<std::unique_ptr<Caller>> streams;
+  std::vector<std::unique_ptr<Terminal>> streams;
   for (int i = 0; i < 4; ++i) {
-    streams.push_back(std::make_unique<Caller>(stage.io, listen, "127.0.1." + std::to_string(210 + i)));
+    streams.push_back(std::make_unique<Terminal>(stage.io, listen, "127.0.1." + std::to_string(210 + i)));
     streams.back()->write(ask);
     ASSERT_TRUE(stage.until(
         [&] { return streams.back()->ended() || streams.back()->seen.find("first") != std::string::npos; }));
