--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -585,9 +585,10 @@
   Stage stage;
   Folder folder;
   Programs programs;
-  StandInBox box(stage.io, stage.clock, stage.deadlines);
+  StandInBox box(stage.io, stage.clock, stage.deadlines), drained(stage.io, stage.clock, stage.deadlines);
   std::vector<StandInBox::Taken*> held;
   bool hold = false;
+  drained.script = streamWhole;
   box.script = [&](StandInBox& at, StandInBox::Taken& taken) {
     if (!hold) return streamWhole(at, taken);
     taken.connection->beginStream({{"Content-Type", "text/event-stream"}});
@@ -601,7 +602,9 @@
               {"sockets", 256},
               {"keys", {{{"key", "k"}, {"tenant", "club"}}}},
               {"models", {{"ask", "member-questions"}}},
-              {"boxes", {{{"id", "m1"}, {"address", textOf(box.address())}, {"role", "both"}, {"cell", 0}}}},
+              {"boxes",
+               {{{"id", "m1"}, {"address", textOf(box.address())}, {"role", "both"}, {"cell", 0}},
+                {{"id", "m2"}, {"address", textOf(drained.address())}, {"role", "both"}, {"cell", 0}}}},
               {"settings", siteSettings()},
               {"admission",
                {{"connections", {{"total", 60}, {"per_address", 20}}},
@@ -642,6 +645,13 @@
     storm();
     ASSERT_TRUE(knownIsServed(i)) << i;
   }
+  ASSERT_EQ(callDoor(stage.io, door, "exclude m2").rfind("ok", 0), 0U);
+  const auto told = std::chrono::steady_clock::now();
+  for (int i = 20; std::chrono::steady_clock::now() - told < std::chrono::milliseconds(1'100); ++i) {
+    storm();
+    ASSERT_TRUE(knownIsServed(i)) << i;
+  }
+  const int beforeTheEnd = drained.chats();
   hold = true;
   std::vector<std::unique_ptr<Terminal>> streams;
   for (int i = 0; i < 4; ++i) {
@@ -681,6 +691,16 @@
   std::optional<int> status;
   ASSERT_TRUE(stage.until([&] { return status || (status = programs.ended(program)); }));
   EXPECT_EQ(status, 0);
+  // What the boxes saw of it all: nothing twice, nothing without time left, nothing new where a drain was
+  // asked for.
+  std::set<std::string> ids;
+  for (const StandInBox* one : {&box, &drained})
+    for (const auto& taken : one->taken) {
+      if (taken->target.rfind("/v1/", 0) != 0) continue;
+      EXPECT_TRUE(ids.insert(taken->id).second) << taken->id;
+      EXPECT_GT(std::stol(taken->budget), 0);
+    }
+  EXPECT_EQ(drained.chats(), beforeTheEnd);
 }
 
 // On the platform a front brings all clients from few addresses: there is no gate, and nobody is counted by
--- a/tests/support/stage.h
+++ b/tests/support/stage.h
@@ -136,6 +136,7 @@
   struct Taken {
     std::shared_ptr<net::ClientConnection> connection;
     std::string method, target, body, id;
+    std::string budget = {};  // X-Budget-Ms, as it came
     bool gone = false;
   };
   using Script = std::function<void(StandInBox&, Taken&)>;
@@ -149,7 +150,8 @@
     std::string id(request["X-Call-Id"]);
     if (id.empty()) id = std::string(request["X-Request-Id"]);
     taken.push_back(std::make_unique<Taken>(Taken{connection, std::string(request.method_string()),
-                                                  std::string(request.target()), request.body(), id}));
+                                                  std::string(request.target()), request.body(), id,
+                                                  std::string(request["X-Budget-Ms"])}));
     Taken& now = *taken.back();
     if (now.method == "DELETE") return now.connection->answer(releases ? 204 : 500, {}, "");
     if (now.method == "POST" && now.target.rfind("/bootstrap/", 0) == 0)
