--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -9,6 +9,7 @@
 #include "app/admission_watch.h"
 #include "app/operations.h"
 #include "app/otlp.h"
+#include "app/trace.h"
 #include "net/line_door.h"
 
 namespace dahliastall::app {
@@ -134,6 +135,15 @@
 
 namespace {
 
+void traceTo(Engine& engine, const Telemetry& telemetry) {
+  if (!telemetry.trace) return;
+  const auto log = [](const auto& what) {
+    if (const std::string line = traceLine(what); !line.empty()) spdlog::info("trace: {}", line);
+  };
+  engine.conductor.onEvent(log);
+  engine.conductor.onAction(log);
+}
+
 std::unique_ptr<OtlpExporter> exporterFor(Engine& engine, const Telemetry& telemetry) {
   if (!telemetry.collector) return nullptr;
   auto exporter = std::make_unique<OtlpExporter>(engine.io, engine.clock, engine.deadlines, engine.counters,
@@ -193,8 +203,10 @@
                 fronts::platformDialect(), limits.sockets);
   fronts::PlatformFront front(engine.conductor, config.setup.names, engine.clock, engine.counters);
   fronts::Discovery discovery(engine.io, engine.clock, engine.deadlines, engine.counters, engine,
-                              engine.directory, engine.pool, config.setup.names);
+                              engine.directory, engine.pool, config.setup.names,
+                              fleet::Pace(config.setup.settings.nodes, config.seed));
   discovery.accountTo(engine.ledger);
+  traceTo(engine, telemetry);
   if (!config.known.is_null()) discovery.known(config.known);
   discovery.watch(config.discovery);
   const auto exporter = exporterFor(engine, telemetry);
@@ -260,6 +272,7 @@
                         std::to_string(limits.sockets) + " descriptors");
     gate = std::make_unique<admission::Gate>(*site.admission);
   }
+  traceTo(engine, telemetry);
   engine.directory = site.directory;
   engine.list(site.boxes);
   fronts::OpenAiFront front(engine.conductor, site, engine.clock, engine.counters, fronts::randomIds());
--- a/src/app/conductor_app.h
+++ b/src/app/conductor_app.h
@@ -71,6 +71,7 @@
 struct Telemetry {
   std::optional<net::Endpoint> collector;  // none: nothing is exported
   double intervalMs = 10'000;
+  bool trace = false;  // log events and actions of the module
 };
 
 // Keeps SIGHUP waiting until run() handles it: its default action would end the program. Called first of all.
--- a/src/fronts/platform/discovery.h
+++ b/src/fronts/platform/discovery.h
@@ -12,6 +12,7 @@
 #include "core/counters.h"
 #include "core/deadlines.h"
 #include "core/ports.h"
+#include "fleet/pace.h"
 #include "fronts/boxes/directory.h"
 #include "net/pool.h"
 #include "wire.h"
@@ -23,7 +24,7 @@
   // droppable: the pool of the boxes, whose idle connections go when a box restarts or leaves.
   Discovery(boost::asio::io_context& io, const core::Clock& clock, core::Deadlines& deadlines,
             core::Counters& counters, core::ListSink& lists, Directory& directory, net::Pool& droppable,
-            const leverrelay::wire::Vocabulary& names);
+            const leverrelay::wire::Vocabulary& names, fleet::Pace pace);
 
   ~Discovery();
 
@@ -42,6 +43,9 @@
   void open();
   void spoke(const Watch& watch);
   void broken(const Watch& watch);
+  bool silent(const Watch& watch);  // whether that one is kept
+  void openLater();
+  void leaveNext();
   void apply(const nlohmann::json& list, std::optional<leverrelay::ListForm> form);
 
   const core::Clock& clock_;
@@ -55,6 +59,8 @@
   net::Endpoint address_, spokenFor_;    // where to watch, and where the version was told
   std::shared_ptr<Watch> watch_, next_;  // the one that speaks, and the one that has not spoken yet
   std::optional<core::Deadlines::Key> reopen_;
+  bool doubted_ = false;  // the watch has gone silent, and another is tried beside it
+  fleet::Pace pace_;
   std::uint64_t revision_ = 0;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,6 +35,7 @@
   add("config", options::value<std::string>(), "the platform's configuration; else $GW_CONFIG");
   add("operator", options::value<std::string>(), "an operator's file: serve the chat API to its boxes");
   add("otlp", options::value<std::string>(), "export the counters to this OTLP/HTTP collector, HOST:PORT");
+  add("trace", options::bool_switch(), "log what the decision module is told and decides, a line each");
   add("otlp-interval", options::value<double>()->default_value(10), "seconds between two exports");
   return known;
 }
@@ -61,6 +62,7 @@
   app::Telemetry telemetry;
   telemetry.intervalMs = given["otlp-interval"].as<double>() * 1000;
   if (!(telemetry.intervalMs >= 100)) throw app::ConfigError("--otlp-interval is 0.1 or more");
+  telemetry.trace = given["trace"].as<bool>();
   if (given.count("otlp") != 0) telemetry.collector = fronts::endpointOf(given["otlp"].as<std::string>());
   return telemetry;
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,10 +9,46 @@
 
 #include "fleet/drains.h"
 #include "fleet/life.h"
+#include "fleet/pace.h"
 
 namespace dahliastall::fleet {
 namespace {
 
+// ---- Pace ------------------------------------------------------------------------------------------
+
+// When each node asks in vain, from the same moment on: tries of all in each tenth of a second.
+std::map<int, int> triesOf(int nodes, double forMs) {
+  std::map<int, int> tries;
+  for (int node = 0; node < nodes; ++node) {
+    Pace pace(nodes, static_cast<std::uint64_t>(node));
+    for (double at = pace.pauseMs(); at < forMs; at += pace.pauseMs()) ++tries[static_cast<int>(at / 100)];
+  }
+  return tries;
+}
+
+// Guards against a fleet that keeps its discovery down by asking: a hundred nodes with a tenth of a second
+// each were 860 calls a second, and most got no list for as long as the day lasted.
+TEST(PaceOfAFleet, ManyNodesTogetherAskSeldomAndOutOfStep) {
+  for (const int nodes : {100, 300}) {
+    int late = 0;
+    for (const auto& [tenth, count] : triesOf(nodes, 60'000)) {
+      EXPECT_LE(count, nodes / 5) << nodes << " nodes, " << tenth << " tenths after the loss";
+      if (tenth >= 200) late += count;
+    }
+    EXPECT_LE(late / 40.0, nodes / 8.0);  // a second
+    EXPECT_GE(late / 40.0, nodes / 15.0);
+  }
+}
+
+TEST(PaceOfAFleet, AFewNodesAskAtOnceAndGoOnAskingOften) {
+  Pace pace(2, 7);
+  EXPECT_LE(pace.pauseMs(), 150);
+  for (int i = 0; i < 50; ++i) EXPECT_LE(pace.pauseMs(), 750);
+  EXPECT_LE(pace.answerMs(300), 500);
+  pace.wentWell();
+  EXPECT_LE(pace.pauseMs(), 150);
+}
+
 // ---- Life ------------------------------------------------------------------------------------------
 
 LifeFacts listed(bool warm = true) {
