--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,5 @@
 // Every decision of the router. A request moves waiting -> reading -> read -> writing -> streaming -> over.
-// Every send passes sendTo(), every ending finish(): each of the five rules is enforced in one of the two.
+// Every send passes sendTo(), every ending finish(): the five rules are enforced in one of the two.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -35,15 +35,20 @@
 constexpr double kFullMemory = 0.95;   // share of a writer's memory that counts as full
 constexpr double kOutputShare = 0.25;  // of the most an answer may have, expected in memory
 constexpr double kRoomToRead = 0.45;   // and share below which a writer may read prompts as well,
-constexpr double kWriterReads = 2;     // which takes it so many times as long as a reader,
-constexpr double kLongRead = 0.6;      // where a reader would take so much of the time to the aim
+constexpr int kWriterReads = 2;        // which takes it so many times as long as a reader,
+constexpr double kLongRead = 0.6;      // where a reader would take so much of the time to the aim,
+constexpr double kWriterSpare = 0.15;  // and of all writers' time that all nodes may fill so
+constexpr seconds kJamMemory{6};       // over which reads show a jam: longer than any waits in one,
+constexpr double kKnownReads = 3;      // of each reader in that time let a node know them apart; with fewer
+constexpr double kJamTimes = 1.3;      // times those read in time are tried
 constexpr double kFullAims = 0.15;     // of the shortest aim that a refusal is believed
 constexpr int kPlaceTries = 3;         // places asked for one request; a note takes little of a read
 constexpr double kRefusedAims = 2.5;   // of its class's aim that an engine's refusal is believed
 constexpr double kSpareShare = 0.6;    // of the time left that an attempt may take while a next is possible
 constexpr double kRetryShare = 0.3;    // further attempts allowed for each arrival
 constexpr double kRetryBurst = 30;     // and at once, after a calm stretch
-constexpr double kColdSafety = 0.7;    // share of the cold budget that is used
+constexpr double kColdSafety = 0.7;    // share of the cold budget that is used,
+constexpr double kColdHead = 0.5;      // and of the nodes that it covers, those that may send at once
 constexpr double kHoldShare = 0.6;     // of the release limit that a read state may wait for a writer
 constexpr seconds kFade{1};            // in which an estimate that nothing refreshes loses half its say,
 constexpr double kFadeArrivals = 4;    // or so many arrivals, where a node sees few, but no longer than
@@ -55,8 +60,6 @@
 constexpr double kRateKept = 0.98;         // of the fastest reading seen, with each read that is slower
 constexpr double kAdvice = 0.1;            // of the longest wait that clients heed, advised with a refusal
 constexpr double kTiny = 1e-9;             // keeps divisions by nothing apart from nothing
-constexpr char kNewsVersion = 1;           // of messages between peers
-constexpr std::size_t kNewsHead = 3;       // bytes before the engine: version, class, tenant
 constexpr seconds kAskPause{1};            // between tries to reach the list
 constexpr double kHandOverFrom = 0.6;  // share of the grace of a node that ends: its streams move from here,
 constexpr double kHandOverTo = 0.9;    // when a peer that ended before it is back, until here
@@ -234,9 +237,8 @@
     return age >= 1 ? 1 : std::max(set_.contract.coldFrom, age);
   }
 
-  // Guards rule four: this node's part of the budget, by what an engine of its weight usually gets from it
-  // and by the whole role, as all peers may be cold. A draw at the start (see take) spreads many nodes' first
-  // sends.
+  // Guards rule four: this node's part of the budget, by what an engine of its weight usually gets from it. A
+  // draw (see take) spreads first sends and lets some nodes send at once, as who sees little seldom comes by.
   bool coldAllows(Engine& e) {
     if (warmShare(e) >= 1) return true;
     const double window = ratio(set_.contract.fallFor, seconds(1));
@@ -266,8 +268,7 @@
   }
 
   void trust(Engine& e) {
-    e.ejected = false;
-    e.pause = kFirstPause;
+    std::tie(e.ejected, e.pause) = std::pair(false, kFirstPause);
     e.fails = Average();
   }
 
@@ -281,7 +282,7 @@
     say("using " + e.info.engine.value + " again");
   }
 
-  // By the best in use: where all fail alike, leaving one out gains nothing; fast failures rule a mean.
+  // By the best in use: where all fail alike, leaving one out gains nothing.
   double failsAllowed(const Engine& e) const {
     double best = 1;
     for (const auto& [id, x] : engines_)
@@ -329,10 +330,11 @@
   // A cell reads what its writers can write, within bounds of its readers; the rest crosses the link by plan.
   void plan() {
     for (auto& [index, c] : cells_) c.readers = c.writers = 0;
-    weight_ = {};
+    weight_ = count_ = {};
     for (const auto& [id, e] : engines_) {
       if (!listed(e)) continue;
       weight_[at(e.role)] += e.info.weight;
+      count_[at(e.role)] += 1;
       Cell& cell = cells_[e.info.cell];
       if (e.role == Role::kReader) cell.readers += e.info.weight;
       if (e.role == Role::kWriter) cell.writers += e.info.weight;
@@ -430,9 +432,6 @@
     return now_ < e.fullUntil || expectedTokens(e) > set_.kinds[e.info.kind.value].memoryTokens * share;
   }
 
-  // A refusal, of work or of a place, says that slots or memory are out or that some wait there already.
-  void noteFull(Engine& e) { e.fullUntil = now_ + scaled(shortestAim(), kFullAims); }
-
   Caller callerOf(const Request& r) const {
     return {r.told.cls.value, r.told.tenant ? r.told.tenant->value + 1 : 0};
   }
@@ -442,17 +441,6 @@
     return it != e.refuses.end() && now_ < it->second;
   }
 
-  // An engine that turns one class or tenant away may have room for others. Peers need not learn it anew.
-  void noteRefusal(const Request& r, Engine& e) {
-    const Caller who = callerOf(r);
-    const Duration memory = scaled(classOf(r).aim, kRefusedAims);
-    Time& until = e.refuses[who];
-    if (set_.limits.peers && until < now_ + memory / 2)
-      emit(TellPeers{std::string{kNewsVersion, static_cast<char>(who.first), static_cast<char>(who.second)} +
-                     e.info.engine.value});
-    until = now_ + memory;
-  }
-
   bool everyWriterFull() const {
     int fits = 0;
     for (const auto& [id, e] : engines_) {
@@ -548,8 +536,7 @@
   }
 
   void toWrite(Request& r) {
-    r.phase = Phase::kRead;
-    r.readAt = now_;
+    std::tie(r.phase, r.readAt) = std::pair(Phase::kRead, now_);
     startWrite(r);
   }
 
@@ -592,20 +579,33 @@
       if (best == nullptr || std::pair(e.readTokens, load(e)) < std::pair(best->readTokens, load(*best)))
         best = &e;
     }
+    // Each node alone sees the writers idle, so it reckons what they would read if all did as it does.
+    const Duration all = kWriterReads * timeFor(writerReads_.at(now_, kFlowMemory)) * set_.nodes;
     if (best == nullptr || !set_.writersRead) return false;
+    if (all > scaled(kFlowMemory, kWriterSpare * count_[at(Role::kWriter)])) return false;
     if (now_ + scaled(timeFor(best->readTokens + r.told.promptTokens), kWriterReads) > r.aim) return false;
     letGo(r);
     book(r, *best);
     if (sendTo(r, *best, Phase::kWriting)) countSend(*best);
+    writerReads_.add(r.told.promptTokens, now_, kFlowMemory);
     return true;
   }
 
+  // Guards against a jam that many nodes keep up with a few reads each, begun and given up. Who cannot know
+  // each reader reads little more than was read in time at any, and its part of some trials that show the
+  // jam's end.
+  bool throttled(const Request& r) const {
+    const double tried = reads_.at(now_, kJamMemory), known = kKnownReads * count_[at(Role::kReader)];
+    const double allowed = kJamTimes * timely_.at(now_, kJamMemory) + std::max(1.0, known / set_.nodes);
+    return tried < known && drawOf(r.told.request.value, "throttle") * tried > allowed;
+  }
+
   void startRead(Request& r) {
     Engine* reader = chooseReader(r);
     const bool late = reader != nullptr && worthless(r, *reader);
     const bool slow = reader == nullptr || readTime(r, *reader) > scaled(r.aim - now_, kLongRead);
     if ((late || slow) && readAtWriter(r)) return;
-    if (reader == nullptr || late) return reader == nullptr ? void() : finish(r);
+    if (reader == nullptr || late || throttled(r)) return reader == nullptr ? void() : finish(r);
     letGo(r);
     r.reader = reader;
     if (reader->role == Role::kMixed) book(r, *reader);
@@ -804,7 +804,9 @@
     e.role = set_.kinds[entry.kind.value].role;
     for (int i = 0; fresh && i < kNewIsGood; ++i) e.fails.add(0);
     if (fresh || restarted) e.coldFilled = now_;
-    if (fresh || restarted) e.coldTokens = std::uniform_real_distribution<>(0, 1)(random_);
+    const double head = kColdHead * set_.contract.coldFrom * set_.contract.fallFactor * kColdSafety;
+    if (fresh || restarted)
+      e.coldTokens = std::min(1.0, head + std::uniform_real_distribution<>(0, 1)(random_));
     if (restarted) trust(e);
     if (entry.presence == Presence::kActive) e.toldOff.reset();
     else tellOff(e, entry.presence);
@@ -846,7 +848,7 @@
   void on(const PlaceNote& note) {
     Request* r = held(note.request);
     if (r == nullptr || r->place == nullptr || r->place->info.engine != note.engine || note.held) return;
-    noteFull(*r->place);
+    r->place->fullUntil = now_ + scaled(shortestAim(), kFullAims);  // no slot or memory, or some wait already
     r->place = nullptr;
     if (r->phase != Phase::kReading) return;
     unbook(*r);
@@ -885,13 +887,17 @@
     // What is not read in time waited at least so long: a jam is known by what it does not answer.
     const bool late = outcome == Outcome::kTimeout || outcome == Outcome::kCancelled;
     if (a.tokens > 0 && late && a.overtaken < kOvertaken) noteWait(e, ended.took);
+    const bool shows = a.tokens > 0 && (late || outcome == Outcome::kRead || outcome == Outcome::kFull);
+    reads_.add(shows ? 1 : 0, now_, kJamMemory);
+    timely_.add(shows && outcome == Outcome::kRead && now_ < r.aim ? 1 : 0, now_, kJamMemory);
     if (outcome == Outcome::kRead) noteGood(e, a.sentAt);
     if (outcome == Outcome::kError) noteBad(e, "errors", false);
     if (outcome == Outcome::kTimeout) noteBad(e, "no answers", false);
     if (outcome == Outcome::kNoConnection) noteBad(e, "no connection", true);
     // One stream that breaks is no sign of the next: an engine that is gone refuses the next connection.
     if (outcome == Outcome::kConnectionLost && !a.calledOff) noteBad(e, "lost connections", false);
-    if (outcome == Outcome::kFull && !ended.stateGone) noteRefusal(r, e);
+    if (outcome == Outcome::kFull && !ended.stateGone)
+      e.refuses[callerOf(r)] = now_ + scaled(classOf(r).aim, kRefusedAims);  // others may find room
     a.harmless = outcome == Outcome::kFull || outcome == Outcome::kNoConnection ||
                  outcome == Outcome::kNotSent || outcome == Outcome::kRead;
   }
@@ -930,20 +936,12 @@
 
   void on(const ProbeEnded&) {}  // none is asked for
 
-  // A hint of a peer is reason for caution alone and expires; one that cannot be read changes nothing.
-  void on(const PeerMessage& message) {
-    const std::string& b = message.bytes;
-    if (b.size() <= kNewsHead || b[0] != kNewsVersion) return;
-    const auto it = engines_.find({b.substr(kNewsHead)});
-    const std::uint32_t cls = static_cast<unsigned char>(b[1]), tenant = static_cast<unsigned char>(b[2]);
-    if (it == engines_.end() || cls >= set_.classes.size() || tenant > set_.tenants.size()) return;
-    it->second.refuses[{cls, tenant}] = now_ + scaled(set_.classes[cls].aim, kRefusedAims);
-  }
+  void on(const PeerMessage&) {}  // nodes share nothing
 
   void on(const AlarmRang&) { pulseSet_ = false; }
 
   void on(const Stopping& stopping) {
-    if (!stopsAt_) stopsAt_ = now_;
+    stopsAt_ = stopsAt_.value_or(now_);
     grace_ = stopping.grace;
   }
 
@@ -1044,8 +1042,10 @@
   double readRate_ = 0;                                    // unread tokens a microsecond where nothing waits
   double held_ = 0, streams_ = 0, retries_ = kRetryBurst;  // own answers' tokens, and how many; spare retries
   std::mt19937_64 random_;
-  Flow arrivals_, sends_[3];                       // sends by role
-  std::array<double, 3> weight_{}, mostWeight_{};  // listed, and the most ever listed, by role
+  Flow arrivals_, sends_[3], writerReads_;  // sends by role; tokens sent to be read by writers
+  Flow reads_, timely_;                     // reads that ended, and those of them in time
+  std::array<double, 3> weight_{}, mostWeight_{},
+      count_{};  // listed, the most ever listed, how many, by role
   std::map<RequestId, Request> requests_;
   std::optional<Time> askAgainAt_, stopsAt_;
   Duration grace_{};
