--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,25 +37,25 @@
 constexpr double kRoomToRead = 0.45;   // and share below which a writer may read prompts as well,
 constexpr int kWriterReads = 2;        // which takes it so many times as long as a reader,
 constexpr double kLongRead = 0.6;      // where a reader would take so much of the time to the aim,
-constexpr double kWriterSpare = 0.15;  // and of all writers' time that all nodes may fill so
-constexpr seconds kJamMemory{6};       // over which reads show a jam: longer than any waits in one,
-constexpr double kKnownReads = 3;      // of each reader in that time let a node know them apart; with fewer
-constexpr double kJamTimes = 1.3;      // times those read in time are tried
-constexpr double kFullAims = 0.15;     // of the shortest aim that a refusal is believed
-constexpr int kPlaceTries = 3;         // places asked for one request; a note takes little of a read
-constexpr double kRefusedAims = 2.5;   // of its class's aim that an engine's refusal is believed
-constexpr double kSpareShare = 0.6;    // of the time left that an attempt may take while a next is possible
-constexpr double kRetryShare = 0.3;    // further attempts allowed for each arrival
-constexpr double kRetryBurst = 30;     // and at once, after a calm stretch
-constexpr double kColdSafety = 0.7;    // share of the cold budget that is used,
-constexpr double kColdHead = 0.5;      // and of the nodes that it covers, those that may send at once
-constexpr double kHoldShare = 0.6;     // of the release limit that a read state may wait for a writer
-constexpr seconds kFade{1};            // in which an estimate that nothing refreshes loses half its say,
-constexpr double kFadeArrivals = 4;    // or so many arrivals, where a node sees few, but no longer than
-constexpr seconds kLongestFade{3};     // this, as a jam passes whether or not it is looked at
-constexpr seconds kFlowMemory{20};     // over which a node's own few requests show where work goes
-constexpr double kFlowPrior = 10;      // requests that the plan counts for beside them
-constexpr double kKeyPart = 0.5;       // of a reader's share of traffic that one key may fill
+constexpr double kWriterSpare = 0.15, kFewNodes = 3;  // of all writers' time, unless nodes are so few;
+constexpr seconds kJamMemory{6};      // over which reads show a jam: longer than any waits in one,
+constexpr double kKnownReads = 3;     // of each reader in that time let a node know them apart; with fewer
+constexpr double kJamTimes = 1.3;     // times those read in time are tried
+constexpr double kFullAims = 0.15;    // of the shortest aim that a refusal is believed
+constexpr int kPlaceTries = 3;        // places asked for one request; a note takes little of a read
+constexpr double kRefusedAims = 2.5;  // of its class's aim that an engine's refusal is believed
+constexpr double kSpareShare = 0.6;   // of the time left that an attempt may take while a next is possible
+constexpr double kRetryShare = 0.3;   // further attempts allowed for each arrival
+constexpr double kRetryBurst = 30;    // and at once, after a calm stretch
+constexpr double kColdSafety = 0.7;   // share of the cold budget that is used,
+constexpr double kColdHead = 0.5;     // and of the nodes that it covers, those that may send at once
+constexpr double kHoldShare = 0.6;    // of the release limit that a read state may wait for a writer
+constexpr seconds kFade{1};           // in which an estimate that nothing refreshes loses half its say,
+constexpr double kFadeArrivals = 4;   // or so many arrivals, where a node sees few, but no longer than
+constexpr seconds kLongestFade{3};    // this, as a jam passes whether or not it is looked at
+constexpr seconds kFlowMemory{20};    // over which a node's own few requests show where work goes
+constexpr double kFlowPrior = 10;     // requests that the plan counts for beside them
+constexpr double kKeyPart = 0.5;      // of a reader's share of traffic that one key may fill
 constexpr std::size_t kKeysCounted = 500;  // whose traffic is remembered
 constexpr double kRateKept = 0.98;         // of the fastest reading seen, with each read that is slower
 constexpr double kAdvice = 0.1;            // of the longest wait that clients heed, advised with a refusal
@@ -581,8 +581,8 @@
     }
     // Each node alone sees the writers idle, so it reckons what they would read if all did as it does.
     const Duration all = kWriterReads * timeFor(writerReads_.at(now_, kFlowMemory)) * set_.nodes;
-    if (best == nullptr || !set_.writersRead) return false;
-    if (all > scaled(kFlowMemory, kWriterSpare * count_[at(Role::kWriter)])) return false;
+    const double spare = std::max(kWriterSpare, kFewNodes / set_.nodes) * count_[at(Role::kWriter)];
+    if (best == nullptr || !set_.writersRead || all > scaled(kFlowMemory, spare)) return false;
     if (now_ + scaled(timeFor(best->readTokens + r.told.promptTokens), kWriterReads) > r.aim) return false;
     letGo(r);
     book(r, *best);
