--- /dev/null
+++ b/benchmarks/decision_cost.cpp
@@ -0,0 +1,59 @@
+// What the module takes for a request, from its arrival to its end, and for a change of the list, by the
+// number of boxes that are listed.
+#include <benchmark/benchmark.h>
+
+#include "../tests/fleet.h"
+
+namespace {
+
+using namespace leverrelay;
+
+// A third of the boxes read, the others write; five to a cell.
+std::vector<ListEntry> boxes(int count) {
+  std::vector<ListEntry> list;
+  for (int i = 0; i < count; ++i)
+    list.push_back(
+        engine(numbered("box-", i), i % 3 == 0 ? kReader : kWriter, static_cast<std::uint32_t>(i / 5)));
+  return list;
+}
+
+Settings hundredNodes() {
+  Settings settings = plainSettings();
+  settings.nodes = 100;
+  return settings;
+}
+
+void wholeRequest(benchmark::State& state) {
+  Fleet fleet(hundredNodes());
+  fleet.list(boxes(static_cast<int>(state.range(0))));
+  int n = 0;
+  for (auto _ : state) {
+    fleet.serve(numbered("request-", n), numbered("prefix-", n % 20));
+    ++n;
+  }
+}
+BENCHMARK(wholeRequest)->Arg(12)->Arg(60)->Arg(100)->Arg(1000)->Repetitions(5)->ReportAggregatesOnly();
+
+void oneBoxChanges(benchmark::State& state) {
+  Fleet fleet(hundredNodes());
+  const std::vector<ListEntry> all = boxes(static_cast<int>(state.range(0)));
+  fleet.list(all);
+  std::size_t n = 0;
+  for (auto _ : state) {
+    ListEntry entry = all[n++ % all.size()];
+    entry.started = fleet.wait(1ms).now();
+    fleet.list({entry}, ListForm::kChanges);
+  }
+}
+BENCHMARK(oneBoxChanges)->Arg(12)->Arg(60)->Arg(100)->Arg(1000)->Repetitions(5)->ReportAggregatesOnly();
+
+void wholeListAgain(benchmark::State& state) {
+  Fleet fleet(hundredNodes());
+  const std::vector<ListEntry> all = boxes(static_cast<int>(state.range(0)));
+  for (auto _ : state) fleet.list(all);
+}
+BENCHMARK(wholeListAgain)->Arg(12)->Arg(60)->Arg(100)->Arg(1000)->Repetitions(5)->ReportAggregatesOnly();
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -658,6 +658,52 @@
   }
 }
 
+json memberOf(int i, const std::string& phase, int port, double started) {
+  return {{"id", "b" + std::to_string(i)},
+          {"host_port", "127.0.0.1:" + std::to_string(port)},
+          {"locality", "z"},
+          {"flavor", "mixed"},
+          {"cell", i / 5},
+          {"phase", phase},
+          {"up_since_ms", started}};
+}
+
+std::string lineOf(int revision, bool whole, const json& members) {
+  return json{{"revision", revision}, {"complete", whole}, {"members", members}}.dump();
+}
+
+// Guards a fleet many times bigger: long lists, thousands of changes in one line, and what settings do not
+// name.
+TEST(DiscoveryWatch, ListsOfAThousandBoxesAndThousandsOfChangesInALine) {
+  for (const int boxes : {100, 1000}) {
+    Watching watching;
+    json all = json::array(), changes = json::array();
+    for (int i = 0; i < boxes; ++i) {
+      all.push_back(memberOf(i, "active", 1000 + i, 0));
+      changes.push_back(memberOf(i, "leaving", 1000 + i, 0));
+      changes.push_back(memberOf(i, "left", 1000 + i, 0));
+      if (i % 2 == 0) changes.push_back(memberOf(i, "active", 10'000 + i, 5));  // elsewhere, and started anew
+    }
+    ASSERT_TRUE(watching.discovery.line(lineOf(1, true, all)));
+    EXPECT_EQ(watching.directory.all().size(), static_cast<std::size_t>(boxes));
+    const std::string line = lineOf(2, false, changes);
+    EXPECT_FALSE(watching.discovery.line(line.substr(0, line.size() / 2)));  // cut: nothing changes
+    EXPECT_EQ(watching.directory.all().size(), static_cast<std::size_t>(boxes));
+    ASSERT_TRUE(watching.discovery.line(line));
+    EXPECT_EQ(watching.directory.all().size(), static_cast<std::size_t>(boxes / 2));
+    EXPECT_EQ(watching.directory.find({"b0"})->address.port(), 10'000);
+    EXPECT_EQ(watching.directory.find({"b1"}), nullptr);
+    json odd = memberOf(boxes, "active", 9, 0), elsewhere = memberOf(boxes + 1, "active", 9, 0);
+    odd["flavor"] = "unheard-of";
+    elsewhere["locality"] = "nowhere";
+    ASSERT_TRUE(watching.discovery.line(lineOf(3, false, {odd, elsewhere})));
+    EXPECT_EQ(watching.directory.find({"b" + std::to_string(boxes + 1)}), nullptr);
+    ASSERT_TRUE(watching.discovery.line(lineOf(4, true, json::array())));
+    EXPECT_EQ(watching.directory.all().size(), 0U);
+    EXPECT_EQ(watching.counters["discovery.malformed"], 1U);
+  }
+}
+
 TEST(DiscoveryWatch, AListThatIsMalformedChangesNothing) {
   Watching watching;
   ASSERT_TRUE(watching.discovery.line(listOf(5, true, "active")));
