Ask for places without an id in the head; count refusals by their last attempt

Change: POST /bootstrap/rooms/ID carries no X-Call-Id, which the protocol does not ask for. requests.refused_after.* counts refusals by how the last attempt ended and whether at an engine that only reads. A model test drives core and module with one request that must not run twice through all courses of four outcomes and troubles (38,416).

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -52,11 +52,18 @@
       drainGraceMs_(toMs(settings.contract.drainGrace)),
       answerGraceMs_(toMs(settings.contract.answerGrace)) {
   figures_.classes(settings.classes.size());
+  learnKinds(settings);
+}
+
+void Conductor::learnKinds(const Settings& settings) {
+  kindReads_.clear();
+  for (const KindSettings& kind : settings.kinds) kindReads_.push_back(kind.role == Role::kReader);
 }
 
 void Conductor::reconfigure(const Settings& settings) {
   router_.reconfigure(settings);
   figures_.classes(settings.classes.size());
+  learnKinds(settings);
   drainGraceMs_ = toMs(settings.contract.drainGrace);
   answerGraceMs_ = toMs(settings.contract.answerGrace);
 }
@@ -126,6 +133,7 @@
       Listing& listing = fleet_[entry.engine];
       if (entry.presence == Presence::kActive) listing = Listing{};
       else tellOff(listing, entry.presence == Presence::kGone);
+      listing.reads = entry.kind.value < kindReads_.size() && kindReads_[entry.kind.value];
     }
     forgetGone();
   }
@@ -280,6 +288,11 @@
   const RequestKey owner = a->request;
   ++counters_[nameOf(result.outcome)];
   const bool streamed = a->opened;
+  const auto listing = fleet_.find(a->engine);
+  r.lastKnown = std::string(nameOf(result.outcome)).substr(std::string_view("attempts.").size()) +
+                (listing == fleet_.end() ? ""
+                 : listing->second.reads ? "_reading"
+                                         : "_answering");
   AttemptEnded event{
       r.id,  a->number,         a->engine,        result.outcome, toModule(clock_.nowMs() - a->sentMs),
       false, result.keptTokens, result.stateGone, std::nullopt};
@@ -383,6 +396,7 @@
           Request* r = byId(what.request);
           if (r == nullptr || !r->answerer || r->streaming) return;
           ++counters_["requests.refused"];
+          ++counters_["requests.refused_after." + r->lastKnown];
           const bool late = clock_.nowMs() >= r->deadlineMs;
           conclude(*r, Ending::kShed)
               ->refuse({what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt, late});
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -85,6 +85,7 @@
   struct Listing {                    // what the list last said of an engine
     std::optional<double> toldOffMs;  // when it said that the engine drains or is gone
     bool gone = false;
+    bool reads = false;  // a reader: what is tried there has no effect
   };
   struct Attempt {
     RequestKey request;
@@ -105,9 +106,12 @@
     double deadlineMs = 0;
     bool streaming = false;
     AttemptKey stream;
+    std::string lastKnown =
+        "nothing_sent";  // of its last attempt that ended: how, and at what kind of engine
     std::optional<Deadlines::Key> overdue;
   };
 
+  void learnKinds(const leverrelay::Settings& settings);
   void post(leverrelay::Event event);
   void run();
   void act(const leverrelay::Action& action);
@@ -130,6 +134,7 @@
   Counters& counters_;
   leverrelay::Router router_;
   double drainGraceMs_, answerGraceMs_;
+  std::vector<bool> kindReads_;  // by kind of engine
   Engines* engines_ = nullptr;
   std::function<void(const std::string&)> log_ = [](const std::string&) {};
   std::function<void(const leverrelay::Action&)> watch_;
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -366,10 +366,11 @@
 void Boxes::askPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
   const Box* box = directory_.find(engine);
   if (box == nullptr) return;
-  const auto call = pool_.call(box->address,
-                               head("POST", dialect_.roomsPath + request.value, *box,
-                                    {{dialect_.idHeader, request.value}, {"Content-Length", "0"}}),
-                               nullptr, std::make_shared<PlaceCall>(*this, reading, engine));
+  const auto call =
+      pool_.call(box->address,
+                 // No id in its head: a call that carries one could be taken for an attempt.
+                 head("POST", dialect_.roomsPath + request.value, *box, {{"Content-Length", "0"}}), nullptr,
+                 std::make_shared<PlaceCall>(*this, reading, engine));
   deadlines_.add(clock_.nowMs() + kPlaceAnswerMs, [call] { call->abandon(); });
 }
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,6 +1,7 @@
 // The core alone: tables, deadlines, and the conductor between a real module and engines that the test plays.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <map>
 #include <random>
 
@@ -240,6 +241,127 @@
 
 // Whatever comes in whatever order: one final answer for each client that stays, none for one that is gone,
 // and one end for every send.
+// A request that must not run twice, under every order of outcomes and troubles up to four: what its engines
+// saw is held against what its client is told. An attempt at a writer that ended without a proof may have
+// run, and so may one that was let go of while it was out.
+struct AtMostOnce final : Engines {
+  std::map<std::uint32_t, Dispatch> out;
+  std::string broken;
+  bool mayHaveRun = false;
+  int started = 0;
+
+  static bool writes(const Dispatch& dispatch) { return dispatch.engine.value[0] == 'w'; }
+  void start(const Dispatch& dispatch) override {
+    ++started;
+    if (mayHaveRun) broken += "sent after an attempt that may have run; ";
+    if (!out.empty()) broken += "a second copy; ";
+    out[dispatch.attempt.slot] = dispatch;
+  }
+  void abandon(AttemptKey key) override {
+    const auto it = out.find(key.slot);
+    if (it == out.end() || it->second.attempt != key) return;
+    mayHaveRun = mayHaveRun || writes(it->second);
+    out.erase(it);
+  }
+  void ends(Conductor& conductor, Outcome outcome) {
+    if (out.empty()) return;
+    const Dispatch dispatch = out.begin()->second;
+    const bool proof = outcome == Outcome::kFull || outcome == Outcome::kNoConnection ||
+                       outcome == Outcome::kNotSent || outcome == Outcome::kRead;
+    mayHaveRun = mayHaveRun || (writes(dispatch) && !proof);
+    out.erase(out.begin());
+    conductor.ended(dispatch.attempt, {outcome});
+  }
+  void resume(AttemptKey) override {}
+  void holdPlace(const RequestId&, AttemptKey, const EngineId&) override {}
+  void release(const RequestId&) override {}
+  void probe(const EngineId&) override {}
+};
+
+TEST(ARequestThatMustNotRunTwice, IsNeitherRefusedNorSentAgainOnceItMayHaveRun) {
+  constexpr std::array kOutcomes{Outcome::kRead,    Outcome::kError,        Outcome::kFull,
+                                 Outcome::kTimeout, Outcome::kNoConnection, Outcome::kConnectionLost,
+                                 Outcome::kNotSent};
+  constexpr std::size_t kOthers = 7, kLetters = kOutcomes.size() + kOthers, kLength = 4;
+  std::size_t words = 1, refused = 0, failed = 0;
+  for (std::size_t i = 0; i < kLength; ++i) words *= kLetters;
+  for (std::size_t word = 0; word < words; ++word) {
+    Settings settings = plainSettings();
+    settings.classes[0].effect = Effect::kUnsafe;
+    settings.writersRead = word % 2 == 0;
+    settings.resume = true;
+    ManualClock clock;
+    Deadlines deadlines;
+    Counters counters;
+    AtMostOnce engines;
+    Conductor conductor(settings, 7, clock, deadlines, counters);
+    conductor.connect(engines);
+    std::uint64_t version = 0;
+    const auto list = [&](ListForm form, std::vector<ListEntry> entries) {
+      conductor.list({++version, form, std::move(entries)});
+    };
+    list(ListForm::kFull,
+         {engine("r1", kReader), engine("r2", kReader), engine("w1", kWriter), engine("w2", kWriter)});
+    const auto client = std::make_shared<Client>();
+    Arrival told = Fleet::arrival("a");
+    told.resumed = word % 3 == 0;
+    const auto key = conductor.take(told, std::make_shared<Payload>(), client);
+    std::string course;
+    bool refusedInOrder = true;
+    std::size_t rest = word;
+    for (std::size_t i = 0; i < kLength; ++i, rest /= kLetters) {
+      const std::size_t letter = rest % kLetters;
+      course += std::to_string(letter) + " ";
+      const bool ranBefore = engines.mayHaveRun;
+      const int refusedBefore = client->refused;
+      const auto pass = [&](double ms) {
+        clock.advance(ms);
+        deadlines.runDue(clock.nowMs());
+      };
+      if (letter < kOutcomes.size()) engines.ends(conductor, kOutcomes[letter]);
+      else if (letter == kOutcomes.size()) pass(20);
+      else if (letter == kOutcomes.size() + 1) pass(2500);
+      else if (letter == kOutcomes.size() + 2) conductor.stopping(100);
+      else if (letter == kOutcomes.size() + 3) conductor.clientGone(*key);
+      else if (letter == kOutcomes.size() + 4) {
+        if (!engines.out.empty()) conductor.passed(engines.out.begin()->second.attempt, "event");
+      } else {
+        ListEntry gone = engine(letter == kOutcomes.size() + 5 ? "w1" : "r1",
+                                letter == kOutcomes.size() + 5 ? kWriter : kReader);
+        gone.presence = Presence::kLeaving;
+        list(ListForm::kChanges, {gone});
+      }
+      // Refused by what came before this step, or by the step itself.
+      if (client->refused > refusedBefore && (ranBefore || engines.mayHaveRun)) refusedInOrder = false;
+    }
+    ASSERT_EQ(engines.broken, "") << course;
+    ASSERT_TRUE(refusedInOrder) << course;
+    ASSERT_LE(client->finals(), 1) << course;
+    refused += client->refused > 0;
+    failed += client->failed > 0;
+  }
+  EXPECT_GT(refused, 0U);
+  EXPECT_GT(failed, 0U);
+}
+
+// Operators see of each refusal what was known of its last attempt, and whether that was at an engine that
+// only reads.
+TEST(Conductor, CountsRefusalsByWhatWasKnownOfTheLastAttempt) {
+  Play play;
+  const auto none = play.take("nothing sent");  // no engine at all
+  play.pass(10'000);
+  play.list();
+  const auto read = play.take("read");
+  while (read->finals() == 0 && !play.engines.out.empty()) play.end(Outcome::kError);
+  play.pass(10'000);
+  ASSERT_EQ(read->refused, 1);
+  std::uint64_t sum = 0;
+  for (const auto& [name, value] : play.counters.all())
+    if (name.rfind("requests.refused_after.", 0) == 0) sum += value;
+  EXPECT_EQ(sum, play.counters["requests.refused"]);
+  EXPECT_EQ(play.counters["requests.refused_after.error_reading"], 1U);
+}
+
 TEST(Conductor, KeepsItsInvariantsWhateverHappens) {
   constexpr Outcome kOutcomes[] = {Outcome::kServed,       Outcome::kError, Outcome::kFull,
                                    Outcome::kNoConnection, Outcome::kRead,  Outcome::kConnectionLost,
