Test conductors over one SQLite file: a stalled disk, SIGHUP; say since when a lease is held

Need: a store that stalls must not hold up clients, and a changed store lets go of the old lease first.

--- a/src/coordination/etcd_store.cpp
+++ b/src/coordination/etcd_store.cpp
@@ -256,7 +256,7 @@
       told.leftMs = held.is_null() ? 0 : ask.ttlMs;
       return answer(told);
     }
-    own_[ask.task] = {lease, numberText(firstOf(*done, 2), "create_revision"), record.fence};
+    own_[ask.task] = {lease, numberText(firstOf(*done, 2), "create_revision"), record.fence, record.sinceMs};
     told.found = Found::kGranted;
     told.fence = record.fence;
     told.leftMs = ask.ttlMs;
@@ -267,7 +267,7 @@
 
 // The key first: a keep-alive alone says nothing of whose key it is.
 void EtcdStore::renew(const LeaseAsk& ask, const Own& own, LeaseReply answer) {
-  const LeaseRecord record{ask.who, ask.fence, ask.number, ask.progress, clock_.nowMs()};
+  const LeaseRecord record{ask.who, ask.fence, ask.number, ask.progress, own.sinceMs};
   const json txn{{"compare",
                   {wasCreated(leaseKey(ask.task), own.created),
                    hasValue(fenceKey(ask.task), std::to_string(ask.fence))}},
--- a/src/coordination/etcd_store.h
+++ b/src/coordination/etcd_store.h
@@ -47,6 +47,7 @@
     std::string lease;    // etcd's id
     std::string created;  // the revision at which the key was created
     std::uint64_t fence = 0;
+    double sinceMs = 0;
   };
 
   void call(const std::string& path, const nlohmann::json& body, Reply reply);
--- a/src/coordination/runner.cpp
+++ b/src/coordination/runner.cpp
@@ -204,11 +204,14 @@
     const bool own = lease.withinValidity(now);
     const std::string holder = own ? who_.name : lease.seen() ? lease.seen()->holder.name : "-";
     const std::uint64_t fence = own ? lease.fenceNumber() : lease.seen() ? lease.seen()->fence : 0;
+    const double heldMs = lease.seen() ? lease.seen()->sinceMs : 0;  // Unix time at which its holder got it
+    const double held = heldMs > 0 ? std::max(0.0, now - heldMs) / 1000 : 0;
     const double since = (now - lease.sinceMs()) / 1000, renewal = own ? lease.nextRenewalMs() - now : 0;
     list.push_back({{"task", slot->task->terms().name},
                     {"state", nameOf(lease.state())},
                     {"holder", holder},
                     {"fence", fence},
+                    {"held_s", held},
                     {"since_s", since},
                     {"renewal_in_ms", std::max(0.0, renewal)},
                     {"why", lease.why()},
@@ -219,9 +222,10 @@
                     {"refused_by_fence", slot->refusedByFence},
                     {"doubtful_ms", lease.counts().doubtfulMs}});
     text += fmt::format(
-        "lease {} state={} holder={} fence={} for_s={:.0f} renewal_in_ms={:.0f} steps={} lost={} refused={} "
+        "lease {} state={} holder={} fence={} held_s={:.0f} state_s={:.0f} renewal_in_ms={:.0f} steps={} "
+        "lost={} refused={} "
         "why=\"{}\"\n",
-        slot->task->terms().name, nameOf(lease.state()), holder, fence, since, std::max(0.0, renewal),
+        slot->task->terms().name, nameOf(lease.state()), holder, fence, held, since, std::max(0.0, renewal),
         slot->steps, lease.counts().lost, slot->refusedByFence, lease.why());
   }
   if (asJson)
--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -3,6 +3,7 @@
 // the store carried out is read by a checker; only order and bounds are asserted, so a busy machine changes
 // no verdict.
 #include <gtest/gtest.h>
+#include <sqlite3.h>
 #include <sys/wait.h>
 
 #include <csignal>
@@ -44,9 +45,10 @@
     bool stopped = false;
   };
 
+  // sqlite: they share a file in place of the stand-in.
   Conductors(std::size_t count, const std::vector<std::string>& boxNames,
-             std::string program = DAHLIASTALL_PROGRAM)
-      : program_(std::move(program)) {
+             std::string program = DAHLIASTALL_PROGRAM, bool sqlite = false)
+      : program_(std::move(program)), sqlite_(sqlite) {
     for (const std::string& name : boxNames) {
       boxes[name] = std::make_unique<StandInBox>(io, clock, deadlines);
       boxes[name]->script = [this, name](StandInBox& box, StandInBox::Taken& taken) {
@@ -76,23 +78,25 @@
     json listed = json::array();
     for (const auto& [name, box] : boxes)
       listed.push_back({{"id", name}, {"address", textOf(box->address())}, {"role", "both"}, {"cell", 0}});
-    return {
-        {"listen", textOf(one.listen)},
-        {"admin_addr", textOf(one.door)},
-        {"keys", {{{"key", "k"}, {"tenant", "club"}}}},
-        {"models", {{"m", "member-questions"}}},
-        {"boxes", listed},
-        {"settings", settings},
-        {"coordination",
-         {{"name", one.name},
-          {"store", {{"kind", "etcd"}, {"endpoints", {textOf(one.link->address())}}, {"prefix", kPrefix}}},
-          {"lease_s", kLeaseMs / 1000},
-          {"answer_ms", 200},
-          {"step_ms", 200},
-          {"spread_ms", 20},
-          {"watch_ms", 100},
-          {"maintenance", {{"silent_node_s", 4}, {"period_ms", 30}}},
-          {"cleanup", {{"gone_s", 60}, {"period_ms", 500}}}}}};
+    return {{"listen", textOf(one.listen)},
+            {"admin_addr", textOf(one.door)},
+            {"keys", {{{"key", "k"}, {"tenant", "club"}}}},
+            {"models", {{"m", "member-questions"}}},
+            {"boxes", listed},
+            {"settings", settings},
+            {"coordination",
+             {{"name", one.name},
+              {"store", sqlite_ ? json{{"kind", "sqlite"}, {"path", folder.path + "/shared.db"}}
+                                : json{{"kind", "etcd"},
+                                       {"endpoints", {textOf(one.link->address())}},
+                                       {"prefix", kPrefix}}},
+              {"lease_s", kLeaseMs / 1000},
+              {"answer_ms", 200},
+              {"step_ms", 200},
+              {"spread_ms", 20},
+              {"watch_ms", 100},
+              {"maintenance", {{"silent_node_s", 4}, {"period_ms", 30}}},
+              {"cleanup", {{"gone_s", 60}, {"period_ms", 500}}}}}};
   }
 
   void start(One& one) {
@@ -177,6 +181,7 @@
 
  private:
   std::string program_;
+  bool sqlite_;
 };
 
 // One trouble after another, drawn; each lasts for up to two leases and is over before the next.
@@ -391,5 +396,93 @@
   fleet.check();
 }
 
+// What the conductor itself says of the maintenance's lease.
+json leaseOf(Conductors& fleet, Conductors::One& one) {
+  std::string text = callDoor(fleet.io, one.door, "leases json");
+  const std::size_t end = text.rfind("eof\n");
+  if (end == std::string::npos) return json{{"state", "none"}, {"holder", ""}, {"fence", 0}};
+  return json::parse(text.substr(0, end))["leases"][0];
+}
+
+// A disk that stalls takes the lease from its holder, and nothing from clients: they are answered all the
+// while.
+TEST(ConductorsOnOneMachine, GoOnRoutingWhileTheirStoreStalls) {
+  Conductors fleet(3, {"box-1", "box-2"}, DAHLIASTALL_PROGRAM, /*sqlite=*/true);
+  Conductors::One* holder = nullptr;
+  const auto held = [&] {
+    for (auto& one : fleet.all)
+      if (leaseOf(fleet, *one)["state"] == "holding") holder = one.get();
+    return holder != nullptr;
+  };
+  ASSERT_TRUE(waitFor(fleet.io, 60, held)) << fleet.logs();
+  const std::uint64_t fence = leaseOf(fleet, *holder)["fence"];
+  sqlite3* blocker = nullptr;
+  ASSERT_EQ(sqlite3_open((fleet.folder.path + "/shared.db").c_str(), &blocker), SQLITE_OK);
+  sqlite3_busy_timeout(blocker, 10'000);
+  ASSERT_EQ(sqlite3_exec(blocker, "BEGIN IMMEDIATE", nullptr, nullptr, nullptr), SQLITE_OK);
+  std::size_t answered = 0;
+  const auto ask = [&](Conductors::One& one) {
+    RawPeer client(fleet.io);
+    client.connect(one.listen);
+    client.write(messageText("POST /v1/chat/completions HTTP/1.1",
+                             {{"Authorization", "Bearer k"}, {"Connection", "close"}},
+                             R"({"model":"m","messages":[{"role":"user","content":"open?"}]})"));
+    ASSERT_TRUE(until(fleet.io, [&] { return client.ended(); }));
+    EXPECT_EQ(client.seen.substr(9, 3), "200") << client.seen;
+    ++answered;
+  };
+  // Until each that held it has stopped by itself.
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] {
+    for (auto& one : fleet.all) ask(*one);
+    fleet.rest(100);
+    return leaseOf(fleet, *holder)["state"] != "holding" && leaseOf(fleet, *holder)["state"] != "doubtful";
+  }));
+  for (auto& one : fleet.all) {
+    EXPECT_NE(leaseOf(fleet, *one)["state"], "holding");
+    ask(*one);
+  }
+  EXPECT_GT(answered, fleet.all.size());
+  ASSERT_EQ(sqlite3_exec(blocker, "ROLLBACK", nullptr, nullptr, nullptr), SQLITE_OK);
+  sqlite3_close(blocker);
+  holder = nullptr;
+  ASSERT_TRUE(waitFor(fleet.io, 60, held)) << fleet.logs();
+  EXPECT_GT(leaseOf(fleet, *holder)["fence"].get<std::uint64_t>(), fence);
+}
+
+// SIGHUP with another store lets go of what is held in the old one first; a file that cannot be used leaves
+// all.
+TEST(ConductorsOnOneMachine, ChangeTheirStoreUnderWay) {
+  Conductors fleet(1, {"box-1"}, DAHLIASTALL_PROGRAM, /*sqlite=*/true);
+  Conductors::One& one = *fleet.all[0];
+  const auto holds = [&] { return leaseOf(fleet, one)["state"] == "holding"; };
+  ASSERT_TRUE(waitFor(fleet.io, 60, holds)) << fleet.logs();
+  const auto rewrite = [&](const std::function<void(json&)>& change) {
+    json file = fleet.fileOf(one);
+    change(file["coordination"]);
+    std::ofstream(one.file) << file.dump();
+    fleet.signal(one, SIGHUP);
+  };
+  rewrite([](json& part) { part["lease_s"] = 0.1; });
+  ASSERT_TRUE(waitFor(fleet.io, 60,
+                      [&] { return fleet.logs().find("coordination cannot be used") != std::string::npos; }));
+  EXPECT_TRUE(waitFor(fleet.io, 60, holds));
+  const std::string second = fleet.folder.path + "/second.db";
+  rewrite([&](json& part) { part["store"]["path"] = second; });
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] {
+    return callDoor(fleet.io, one.door, "leases").find(second) != std::string::npos && holds();
+  })) << fleet.logs();
+  sqlite3* first = nullptr;
+  ASSERT_EQ(sqlite3_open((fleet.folder.path + "/shared.db").c_str(), &first), SQLITE_OK);
+  std::string cell;
+  const auto row = [](void* to, int, char** columns, char**) {
+    *static_cast<std::string*>(to) = columns[0];
+    return 0;
+  };
+  ASSERT_EQ(sqlite3_exec(first, "SELECT cell FROM lease WHERE task='maintenance'", row, &cell, nullptr),
+            SQLITE_OK);
+  sqlite3_close(first);
+  EXPECT_FALSE(json::parse(cell).contains("record")) << "let go of, and not left to lapse: " << cell;
+}
+
 }  // namespace
 }  // namespace dahliastall
