--- a/tests/fleet_processes_test.cpp
+++ b/tests/fleet_processes_test.cpp
@@ -135,6 +135,13 @@
     });
   }
 
+  bool allReady() {
+    return waitFor(io, 60, [&] {
+      return std::all_of(all.begin(), all.end(),
+                         [&](auto& one) { return callDoor(io, one->door, "readyz").rfind("ok", 0) == 0; });
+    });
+  }
+
   json plan() {
     const auto text = store.value(kPrefix + "doc/plan");
     return text ? json::parse(*text) : json();
@@ -404,10 +411,17 @@
   return json::parse(text.substr(0, end))["leases"][0];
 }
 
+std::unique_ptr<sqlite3, int (*)(sqlite3*)> opened(const std::string& path) {
+  sqlite3* file = nullptr;
+  EXPECT_EQ(sqlite3_open(path.c_str(), &file), SQLITE_OK);
+  return {file, &sqlite3_close};
+}
+
 // A disk that stalls takes the lease from its holder, and nothing from clients: they are answered all the
 // while.
 TEST(ConductorsOnOneMachine, GoOnRoutingWhileTheirStoreStalls) {
   Conductors fleet(3, {"box-1", "box-2"}, DAHLIASTALL_PROGRAM, /*sqlite=*/true);
+  ASSERT_TRUE(fleet.allReady()) << fleet.logs();
   Conductors::One* holder = nullptr;
   const auto held = [&] {
     for (auto& one : fleet.all)
@@ -416,10 +430,9 @@
   };
   ASSERT_TRUE(waitFor(fleet.io, 60, held)) << fleet.logs();
   const std::uint64_t fence = leaseOf(fleet, *holder)["fence"];
-  sqlite3* blocker = nullptr;
-  ASSERT_EQ(sqlite3_open((fleet.folder.path + "/shared.db").c_str(), &blocker), SQLITE_OK);
-  sqlite3_busy_timeout(blocker, 10'000);
-  ASSERT_EQ(sqlite3_exec(blocker, "BEGIN IMMEDIATE", nullptr, nullptr, nullptr), SQLITE_OK);
+  auto blocker = opened(fleet.folder.path + "/shared.db");
+  sqlite3_busy_timeout(blocker.get(), 10'000);
+  ASSERT_EQ(sqlite3_exec(blocker.get(), "BEGIN IMMEDIATE", nullptr, nullptr, nullptr), SQLITE_OK);
   std::size_t answered = 0;
   const auto ask = [&](Conductors::One& one) {
     RawPeer client(fleet.io);
@@ -442,8 +455,8 @@
     ask(*one);
   }
   EXPECT_GT(answered, fleet.all.size());
-  ASSERT_EQ(sqlite3_exec(blocker, "ROLLBACK", nullptr, nullptr, nullptr), SQLITE_OK);
-  sqlite3_close(blocker);
+  ASSERT_EQ(sqlite3_exec(blocker.get(), "ROLLBACK", nullptr, nullptr, nullptr), SQLITE_OK);
+  blocker = nullptr;
   holder = nullptr;
   ASSERT_TRUE(waitFor(fleet.io, 60, held)) << fleet.logs();
   EXPECT_GT(leaseOf(fleet, *holder)["fence"].get<std::uint64_t>(), fence);
@@ -471,16 +484,14 @@
   ASSERT_TRUE(waitFor(fleet.io, 60, [&] {
     return callDoor(fleet.io, one.door, "leases").find(second) != std::string::npos && holds();
   })) << fleet.logs();
-  sqlite3* first = nullptr;
-  ASSERT_EQ(sqlite3_open((fleet.folder.path + "/shared.db").c_str(), &first), SQLITE_OK);
+  const auto first = opened(fleet.folder.path + "/shared.db");
   std::string cell;
   const auto row = [](void* to, int, char** columns, char**) {
     *static_cast<std::string*>(to) = columns[0];
     return 0;
   };
-  ASSERT_EQ(sqlite3_exec(first, "SELECT cell FROM lease WHERE task='maintenance'", row, &cell, nullptr),
+  ASSERT_EQ(sqlite3_exec(first.get(), "SELECT cell FROM lease WHERE task='maintenance'", row, &cell, nullptr),
             SQLITE_OK);
-  sqlite3_close(first);
   EXPECT_FALSE(json::parse(cell).contains("record")) << "let go of, and not left to lapse: " << cell;
 }
 
