Let each test process bind at a loopback address of its own

Cause: a port found free at 127.0.0.1 was taken by another test's connection before the program bound it ('bind: Address already in use', once in a full run under the sanitizers beside others).

Change: freePort() gives ports at an address in 127.64.0.0/10 that follows from the process id, where nobody else binds.

--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -31,9 +31,12 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
+// At a loopback address of this test process's own, where nobody else binds: a port that was free a moment
+// ago at the common one may be taken by anybody's connection before the program binds it.
 inline net::Endpoint freePort() {
-  boost::asio::io_context io;
-  return tcp::acceptor(io, anyPort()).local_endpoint();
+  static std::uint16_t port = 20'000;
+  const auto own = static_cast<std::uint32_t>(::getpid()) & 0x3fffff;
+  return {boost::asio::ip::address_v4(0x7f400000 | own), ++port};  // in 127.64.0.0/10
 }
 
 class Programs {
