--- a/src/coordination/cleanup.cpp
+++ b/src/coordination/cleanup.cpp
@@ -7,9 +7,9 @@
 
 std::optional<Step> Cleanup::next(const View& view, std::uint64_t, double nowMs) {
   // Who did not look for a while, as a holder that was stopped, knows nothing of what has happened since.
-  if (nowMs - lookedMs_ > terms_.goneMs / 2) seen_.clear();
+  if (nowMs - lookedMs_ > terms_.goneMs / 2) seen_.forget([](const std::string&) { return true; });
   lookedMs_ = nowMs;
-  std::erase_if(seen_, [&](const auto& entry) { return view.docs.count(entry.first) == 0; });
+  seen_.forget([&](const std::string& key) { return view.docs.count(key) == 0; });
   for (const auto& [key, doc] : view.docs) {
     const bool node = key.rfind(kNodePrefix, 0) == 0;
     bool ended = false;
@@ -18,9 +18,7 @@
       ended = plan && plan->over();
     }
     if (!node && !ended) continue;
-    Seen& seen = seen_.try_emplace(key, Seen{doc.revision, nowMs}).first->second;
-    if (seen.revision != doc.revision) seen = {doc.revision, nowMs};
-    if (nowMs - seen.sinceMs < (node ? terms_.goneMs : terms_.planMs)) continue;
+    if (seen_.forMs(key, doc.revision, nowMs) < (node ? terms_.goneMs : terms_.planMs)) continue;
     return Step{"removing " + key, {{key, doc.revision, std::nullopt}}};
   }
   return std::nullopt;
--- a/src/coordination/cleanup.h
+++ b/src/coordination/cleanup.h
@@ -3,8 +3,7 @@
 // own clock; no clock of another machine is read, and one that comes back writes its document anew. No I/O.
 #pragma once
 
-#include <map>
-
+#include "coordination/seen.h"
 #include "coordination/task.h"
 
 namespace dahliastall::coordination {
@@ -23,12 +22,8 @@
   std::optional<Step> next(const View& view, std::uint64_t fence, double nowMs) override;
 
  private:
-  struct Seen {
-    std::uint64_t revision = 0;
-    double sinceMs = 0;
-  };
   Terms terms_;
-  std::map<std::string, Seen> seen_;
+  Seen seen_;
   double lookedMs_ = 0;
 };
 
--- a/src/coordination/maintenance.cpp
+++ b/src/coordination/maintenance.cpp
@@ -32,9 +32,9 @@
   const auto found = planIn(view);
   if (!found || found->first.over()) {
     // Only what belongs to a plan is remembered for it; conductors' signs of life are looked at all the time.
-    std::erase_if(seen_, [](const auto& entry) { return entry.first.rfind("box ", 0) == 0; });
+    seen_.forget([](const std::string& what) { return what.rfind("box ", 0) == 0; });
     for (const auto& [key, doc] : view.docs)
-      if (key.rfind(kNodePrefix, 0) == 0) seenFor(key, doc.revision, nowMs);
+      if (key.rfind(kNodePrefix, 0) == 0) seen_.forMs(key, doc.revision, nowMs);
     return std::nullopt;
   }
   Plan plan = found->first;
@@ -63,7 +63,7 @@
 
 std::string Maintenance::advanceItem(Plan& plan, PlanItem& item, const View& view, double nowMs) {
   const bool ending = plan.state == PlanState::kCancelled;
-  const double since = seenFor("box " + plan.id + "/" + item.box, item.changed, nowMs);
+  const double since = seen_.forMs("box " + plan.id + "/" + item.box, item.changed, nowMs);
   switch (item.state) {
     case ItemState::kDraining:
       if (ending) return reach(plan, item, ItemState::kWarming, "the plan was cancelled");
@@ -115,7 +115,7 @@
   for (const auto& [key, doc] : view.docs) {
     if (key.rfind(kNodePrefix, 0) != 0) continue;
     const auto node = Presence::parse(doc.value);
-    if (!node || seenFor(key, doc.revision, nowMs) >= terms_.silentNodeMs) continue;
+    if (!node || seen_.forMs(key, doc.revision, nowMs) >= terms_.silentNodeMs) continue;
     any = true;
     if (node->plan != plan.id || node->steps < item.changed) return false;
     const auto open = node->open.find(item.box);
@@ -124,12 +124,6 @@
   return any;
 }
 
-double Maintenance::seenFor(const std::string& what, std::uint64_t mark, double nowMs) {
-  Seen& seen = seen_.try_emplace(what, Seen{mark, nowMs}).first->second;
-  if (seen.mark != mark) seen = {mark, nowMs};
-  return nowMs - seen.sinceMs;
-}
-
 // ---- Operators' words ------------------------------------------------------------------------------
 
 namespace {
--- a/src/coordination/maintenance.h
+++ b/src/coordination/maintenance.h
@@ -9,6 +9,7 @@
 
 #include "coordination/plan.h"
 #include "coordination/presence.h"
+#include "coordination/seen.h"
 #include "coordination/task.h"
 #include "fleet/drains.h"
 
@@ -37,22 +38,16 @@
   std::optional<Step> next(const View& view, std::uint64_t fence, double nowMs) override;
 
  private:
-  struct Seen {
-    std::uint64_t mark = 0;
-    double sinceMs = 0;
-  };
-
   std::string advance(Plan& plan, const View& view, double nowMs);
   std::string advanceItem(Plan& plan, PlanItem& item, const View& view, double nowMs);
   std::string beginNext(Plan& plan, const FleetBoxes& boxes, double nowMs);
   bool letGo(const Plan& plan, const PlanItem& item, const View& view, double nowMs);
-  // For how long this holder has seen it so; a new holder counts from when it first looked, so a box is out
-  // or warming longer after a change of holders, and never shorter.
-  double seenFor(const std::string& what, std::uint64_t mark, double nowMs);
 
   MaintenanceTerms terms_;
   std::function<FleetBoxes()> boxes_;
-  std::map<std::string, Seen> seen_;
+  // A new holder counts from when it first looked, so a box is out or warming longer after a change of
+  // holders, and never shorter.
+  Seen seen_;
 };
 
 // Operators' words on the plan, as they change what is stored.
