--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -289,10 +289,8 @@
   ++counters_[nameOf(result.outcome)];
   const bool streamed = a->opened;
   const auto listing = fleet_.find(a->engine);
-  r.lastKnown = std::string(nameOf(result.outcome)).substr(std::string_view("attempts.").size()) +
-                (listing == fleet_.end() ? ""
-                 : listing->second.reads ? "_reading"
-                                         : "_answering");
+  r.lastOutcome = nameOf(result.outcome) + std::string_view("attempts.").size();
+  r.lastAt = listing == fleet_.end() ? "" : listing->second.reads ? "_reading" : "_answering";
   AttemptEnded event{
       r.id,  a->number,         a->engine,        result.outcome, toModule(clock_.nowMs() - a->sentMs),
       false, result.keptTokens, result.stateGone, std::nullopt};
@@ -396,7 +394,7 @@
           Request* r = byId(what.request);
           if (r == nullptr || !r->answerer || r->streaming) return;
           ++counters_["requests.refused"];
-          ++counters_["requests.refused_after." + r->lastKnown];
+          ++counters_[std::string("requests.refused_after.") + r->lastOutcome + r->lastAt];
           const bool late = clock_.nowMs() >= r->deadlineMs;
           conclude(*r, Ending::kShed)
               ->refuse({what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt, late});
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -106,8 +106,8 @@
     double deadlineMs = 0;
     bool streaming = false;
     AttemptKey stream;
-    std::string lastKnown =
-        "nothing_sent";  // of its last attempt that ended: how, and at what kind of engine
+    // Of its last attempt that ended: the names of its outcome, and of what kind of engine that was at.
+    const char *lastOutcome = "nothing_sent", *lastAt = "";
     std::optional<Deadlines::Key> overdue;
   };
 
