--- a/src/coordination/etcd_store.cpp
+++ b/src/coordination/etcd_store.cpp
@@ -63,6 +63,7 @@
 json putting(const std::string& key, const std::string& value, const std::string& lease = "0") {
   return {{"request_put", {{"key", encoded(key)}, {"value", encoded(value)}, {"lease", lease}}}};
 }
+json rangeOf(const std::string& key) { return {{"request_range", {{"key", encoded(key)}}}}; }
 json deleting(const std::string& key) { return {{"request_delete_range", {{"key", encoded(key)}}}}; }
 
 // The first key of a range's answer; null if there is none.
@@ -191,8 +192,6 @@
                  text, exchange));
 }
 
-json EtcdStore::rangeOf(const std::string& key) const { return {{"request_range", {{"key", encoded(key)}}}}; }
-
 // ---- Leases ----------------------------------------------------------------------------------------
 
 void EtcdStore::ask(const LeaseAsk& ask, std::function<void(const LeaseAnswer&)> answer) {
--- a/src/coordination/etcd_store.h
+++ b/src/coordination/etcd_store.h
@@ -60,7 +60,6 @@
   std::string leaseKey(const std::string& task) const { return place_.prefix + "lease/" + task; }
   std::string fenceKey(const std::string& task) const { return place_.prefix + "fence/" + task; }
   std::string docKey(const std::string& key) const { return place_.prefix + "doc/" + key; }
-  nlohmann::json rangeOf(const std::string& key) const;
 
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
