Let a read state's time go on over connections to writers that never come up

In the trace a read ended, then three writers of a zone that was cut off did not take a connection for 250 ms each; with every such failure the module counted the state's time anew, so it was released after 750 ms, and 600 are allowed. A call counts once it has reached an instance. Ruled out: lost releases (the one sent was answered at once).

Change: only an outcome of what was sent begins the time anew; past it a state is let go of in place of another writer tried.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -161,7 +161,7 @@
 
 struct Request {
   Arrival told;
-  Time arrivedAt, deadline, aim, readAt{};  // last: last outcome while a state waits
+  Time arrivedAt, deadline, aim, readAt{};  // last: since when a state waits unused
   Phase phase = Phase::kWaiting;
   std::vector<Attempt> attempts;
   std::set<EngineId> avoid;                    // engines that failed it
@@ -536,7 +536,7 @@
   }
 
   void toWrite(Request& r) {
-    std::tie(r.phase, r.readAt) = std::pair(Phase::kRead, now_);
+    r.phase = Phase::kRead;
     startWrite(r);
   }
 
@@ -568,8 +568,7 @@
     return scaled(readTime(r, reader), fading(now_, lastRead_, fade())) + rest > left;
   }
 
-  // Readers may be too few for a burst, or fail, while writers rest, which read too: slower, and between the
-  // steps of their streams. So one that is warm, holds little and has least to read.
+  // Readers may be too few or fail while writers rest, which read too, more slowly: between their steps.
   bool readAtWriter(Request& r) {
     Engine* best = nullptr;
     for (auto& [id, e] : engines_) {
@@ -591,9 +590,8 @@
     return true;
   }
 
-  // Guards against a jam that many nodes keep up with a few reads each, begun and given up. Who cannot know
-  // each reader reads little more than was read in time at any, and its part of some trials that show the
-  // jam's end.
+  // Guards against a jam that many nodes keep up with a few reads each. Who cannot know each reader reads
+  // little more than was read in time at any, and its part of some trials that show the jam's end.
   bool throttled(const Request& r) const {
     const double tried = reads_.at(now_, kJamMemory), known = kKnownReads * count_[at(Role::kReader)];
     const double allowed = kJamTimes * timely_.at(now_, kJamMemory) + std::max(1.0, known / set_.nodes);
@@ -908,13 +906,15 @@
       r.pinned = !r.openedAt;
       return close(r);
     }
+    const bool up = ended.outcome != Outcome::kNoConnection;
+    if (up) r.readAt = now_;  // what never came up was no send: the state's time goes on
     if (ended.outcome == Outcome::kRead) {
       r.reader = &e;
       return toWrite(r);
     }
     if (now_ >= r.deadline) return finish(r);
-    const bool wrote = r.phase == Phase::kWriting && e.role == Role::kWriter;
-    again(r, e, wrote && !ended.stateGone && r.reader != nullptr);
+    const bool wrote = r.phase == Phase::kWriting && e.role == Role::kWriter && r.reader != nullptr;
+    again(r, e, wrote && !ended.stateGone && (up || now_ - r.readAt < set_.contract.releaseWithin));
   }
 
   void learnRead(const Request& r, const Attempt& a, const AttemptEnded& ended) {
