--- a/src/app/sharer.cpp
+++ b/src/app/sharer.cpp
@@ -127,9 +127,8 @@
 }
 
 void Sharer::judge() {
-  if (!setup_.hearsay) return;
   const double now = engine_.clock.nowMs();
-  const auto boxes = this->boxes();
+  const auto boxes = setup_.hearsay ? this->boxes() : std::map<std::string, KnownBox>();
   std::set<std::string> listed, out;
   for (const auto& [id, box] : boxes) listed.insert(id);
   node_.sights().tidy(listed, now);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -746,14 +746,14 @@
   void finish(Request& r) {
     if (r.phase == Phase::kOver) return;
     callOff(r);
+    letGo(r);  // first, as a refusal says that nothing is under way anywhere
     const Duration advice = scaled(set_.limits.maxRetryAfter, kAdvice);
     if (!mayRefuse(r)) emit(Fail{r.told.request});
     else emit(Refuse{r.told.request, set_.limits.retryAfter ? std::optional(advice) : std::nullopt});
     close(r);
   }
 
-  // Over, by this node's answer or otherwise. A read still out may yet leave a state: it stays known.
-  void close(Request& r) {
+  void close(Request& r) {  // a read still out may yet leave a state: it stays known
     r.phase = Phase::kOver;
     letGo(r);
   }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -653,6 +653,24 @@
   EXPECT_NE(fleet.sentTo().substr(0, 1), "w") << "it is read anew";
 }
 
+// A refusal says that nothing is under way: the read is called off and what is held for it is let go of
+// before.
+TEST(Release, GoesBeforeTheRefusalOfARequestWhosePlaceIsHeld) {
+  Settings s = plainSettings();
+  s.resume = true;
+  Fleet fleet(s);
+  fleet.list({engine("r0", kReader), engine("w0", kWriter)}).arrive("a");
+  ASSERT_EQ(fleet.placeAt(), "w0");
+  fleet.give(PlaceNote{{"a"}, 0, {"w0"}, true}).give(Stopping{1s}).wait(1s);
+  std::vector<std::string> order;
+  for (const Action& action : fleet.actions()) {
+    if (std::holds_alternative<Cancel>(action)) order.emplace_back("cancel");
+    if (std::holds_alternative<Release>(action)) order.emplace_back("release");
+    if (std::holds_alternative<Refuse>(action)) order.emplace_back("refuse");
+  }
+  EXPECT_EQ(order, (std::vector<std::string>{"cancel", "release", "refuse"}));
+}
+
 // A writer that refused was reached: the state's time begins again with its answer.
 TEST(Release, AnAnswerOfAWriterBeginsTheTimeOfAStateAnew) {
   Fleet fleet;
