--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -3,8 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <charconv>
-#include <random>
 
+#include "app/fleet_boxes.h"
 #include "coordination/sqlite_store.h"
 
 namespace dahliastall::app {
@@ -18,11 +18,6 @@
 constexpr double kTurnMs = 20;     // between looks whether all is let go of
 constexpr std::size_t kBeats = 6;  // that a conductor speaks within the time after which it counts as silent
 
-std::uint64_t randomNumber() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 20) ^ source();
-}
-
 std::unique_ptr<Store> storeOf(Engine& engine, const Setup& setup) {
   if (!setup.etcd) return std::make_unique<SqliteStore>(engine.io, setup.sqlitePath);
   auto store =
@@ -31,11 +26,6 @@
   return store;
 }
 
-const char* nameOf(leverrelay::Role role) {
-  constexpr std::array<const char*, 3> kNames{"read", "write", "both"};
-  return kNames.at(static_cast<std::size_t>(role));
-}
-
 std::optional<double> secondsIn(const std::string& text) {
   double value = 0;
   const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -122,7 +112,7 @@
     : engine_(engine),
       site_(site),
       sharer_(sharer),
-      who_{setup.name, randomNumber()},
+      who_{setup.name, freshNumber()},
       seed_(who_.incarnation),
       presence_(who_, setup.maintenance.silentNodeMs / kBeats) {
   begin(std::move(setup));
@@ -244,16 +234,7 @@
   });
 }
 
-FleetBoxes Coordinator::boxes() const {
-  FleetBoxes found;
-  for (const auto& [id, entry] : engine_.membership.listed()) {
-    FleetBox& box = found[id.value];
-    box.role = nameOf(site_.settings.kinds[entry.kind.value].role);
-    box.cell = entry.cell.value;
-    box.serves = entry.presence == leverrelay::Presence::kActive && !engine_.membership.excluded(id);
-  }
-  return found;
-}
+FleetBoxes Coordinator::boxes() const { return fleetBoxes(engine_.membership, site_.settings); }
 
 std::string Coordinator::plan() const {
   if (!run_->runner.hears() && !plan_) return "plan unknown: the store is not read\n";
--- /dev/null
+++ b/src/app/fleet_boxes.h
@@ -0,0 +1,33 @@
+// What both the coordinator and the sharer need of this process: the fleet's boxes as it sees them, and a
+// number that is new with each start.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <random>
+
+#include "app/conductor_app.h"
+#include "coordination/maintenance.h"
+
+namespace dahliastall::app {
+
+inline std::uint64_t freshNumber() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 20) ^ source();
+}
+
+// Without the drains of a maintenance.
+inline coordination::FleetBoxes fleetBoxes(const fleet::Membership& members,
+                                           const leverrelay::Settings& settings) {
+  constexpr std::array<const char*, 3> kRoles{"read", "write", "both"};
+  coordination::FleetBoxes found;
+  for (const auto& [id, entry] : members.listed()) {
+    coordination::FleetBox& box = found[id.value];
+    box.role = kRoles.at(static_cast<std::size_t>(settings.kinds[entry.kind.value].role));
+    box.cell = entry.cell.value;
+    box.serves = entry.presence == leverrelay::Presence::kActive && !members.excluded(id);
+  }
+  return found;
+}
+
+}  // namespace dahliastall::app
--- a/src/app/sharer.cpp
+++ b/src/app/sharer.cpp
@@ -2,9 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
-#include <array>
 #include <nlohmann/json.hpp>
-#include <random>
+
+#include "app/fleet_boxes.h"
 
 namespace dahliastall::app {
 
@@ -18,16 +18,6 @@
 constexpr double kComeAgainMs = 2'000;  // for a loan to be lent
 constexpr double kLeastWaitMs = 1'000;
 
-std::uint64_t freshNumber() {
-  std::random_device source;
-  return (static_cast<std::uint64_t>(source()) << 31) ^ source();
-}
-
-const char* nameOfRole(leverrelay::Role role) {
-  constexpr std::array<const char*, 3> kNames{"read", "write", "both"};
-  return kNames.at(static_cast<std::size_t>(role));
-}
-
 }  // namespace
 
 Sharer::Sharer(Engine& engine, const leverrelay::wire::Setup& site, SharedSetup setup,
@@ -114,15 +104,9 @@
 }
 
 std::map<std::string, KnownBox> Sharer::boxes() const {
-  std::map<std::string, KnownBox> found;
-  const auto& members = engine_.membership;
-  for (const auto& [id, entry] : members.listed()) {
-    KnownBox& box = found[id.value];
-    box.role = nameOfRole(site_.settings.kinds[entry.kind.value].role);
-    box.cell = entry.cell.value;
-    box.serves = entry.presence == leverrelay::Presence::kActive && !members.excluded(id) &&
-                 members.drained().count(id.value) == 0;
-  }
+  auto found = fleetBoxes(engine_.membership, site_.settings);
+  for (const std::string& id : engine_.membership.drained())
+    if (const auto box = found.find(id); box != found.end()) box->second.serves = false;
   return found;
 }
 
--- a/src/shared/hearsay.h
+++ b/src/shared/hearsay.h
@@ -8,15 +8,13 @@
 #include <string>
 #include <vector>
 
+#include "coordination/maintenance.h"
 #include "shared/sights.h"
 
 namespace dahliastall::shared {
 
-struct KnownBox {
-  std::string role;
-  std::uint32_t cell = 0;
-  bool serves = true;  // not out by an operator or a maintenance, which go before all that is said
-};
+// serves: not out by an operator or a maintenance, which go before all that is said.
+using KnownBox = coordination::FleetBox;
 
 // How many of so many boxes may be left out, those that an operator has out counted in: never all.
 std::size_t mostOutOf(std::size_t boxes, double share);
