--- a/src/app/sharer.cpp
+++ b/src/app/sharer.cpp
@@ -103,6 +103,11 @@
       return node_.sights().bad(box, Trouble::kRefused, now);
     case Outcome::kTimeout:
       return node_.sights().bad(box, Trouble::kSilent, now);
+    // Called off for its silence, and not because its client has gone or was refused.
+    case Outcome::kCancelled:
+      if (!ended->concluded && engine_.conductor.avoids(ended->engine))
+        node_.sights().bad(box, Trouble::kSilent, now);
+      return;
     default:
       return;
   }
--- /dev/null
+++ b/tests/shared_processes_test.cpp
@@ -0,0 +1,315 @@
+// Many conductors, as the program itself, that share budgets, counts and judgements: a third is cut off from
+// the store, a box goes silent, a franchisee runs out, conductors are killed in a wave. What the boxes
+// produced by their own logs is compared with what the fleet says; only sums, bounds and order are asserted.
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <random>
+
+#include "shared/words.h"
+#include "support/conductors.h"
+
+namespace dahliastall {
+namespace {
+
+using namespace shared;
+
+constexpr std::uint64_t kBudget = 40'000;
+
+json sharedFile(json& file) {
+  file["keys"] = {{{"key", "a"}, {"tenant", "attiki"}}, {{"key", "p"}, {"tenant", "patras"}}};
+  file["models"] = {{"m", "member-questions"}, {"c", "membership-changes"}};
+  file["settings"]["orgs"] = {{{"name", "attiki"}, {"share", 0.5}, {"allowancePerS", 1000.0}},
+                              {{"name", "patras"}, {"share", 0.5}, {"allowancePerS", 1000.0}}};
+  for (json& grade : file["settings"]["grades"]) {
+    grade["goalTimeMs"] = 400.0;
+    grade["hardLimitMs"] = 2000.0;
+  }
+  file["shared"] = {{"budgets", {{"attiki", kBudget}, {"patras", 1'000'000'000}}},
+                    {"period_s", 864'000},
+                    {"ahead_s", 2},
+                    {"slice_s", 1},
+                    {"loan_s", 6},
+                    {"word_ms", 200},
+                    {"digest_ms", 200},
+                    {"gone_s", 5},
+                    {"silent_s", 3},
+                    {"late_s", 1},
+                    {"alone_s", 3}};
+  return file;
+}
+
+// What a box did for one request, by its own log.
+struct Made {
+  std::string tenant, cls, mark;
+  std::uint64_t tokens;
+};
+
+// Clients that ask all the time, each question with a mark of its own, and keep what they were answered.
+struct Clients {
+  Clients(Conductors& given, unsigned seed) : fleet(given), random(seed) {
+    for (auto& [name, box] : fleet.boxes)
+      box->script = [this, name = name](StandInBox&, StandInBox::Taken& taken) {
+        if (silent.count(name) != 0) return;
+        const json body = json::parse(taken.body);
+        const std::string text = body["messages"][0]["content"];
+        const std::uint64_t prompt = 50, answer = 5 + random() % 40;
+        made.push_back({text.substr(0, text.find(' ')), body["model"], text.substr(text.find(' ') + 1, 8),
+                        prompt + answer});
+        taken.connection->beginStream({{"Content-Type", "text/event-stream"}});
+        taken.connection->pass(eventOf("yes"));
+        taken.connection->pass(
+            "data: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+            "data: {\"id\":\"c\",\"choices\":[],\"usage\":{\"prompt_tokens\":" +
+            std::to_string(prompt) + ",\"completion_tokens\":" + std::to_string(answer) +
+            "}}\n\ndata: [DONE]\n\n");
+        taken.connection->endStream();
+      };
+  }
+
+  struct Asked {
+    std::unique_ptr<RawPeer> peer;
+    Conductors::One* at;
+    pid_t process;
+    std::string cls;
+  };
+  void ask(Conductors::One& one, const std::string& tenant, const std::string& cls) {
+    char mark[16];
+    std::snprintf(mark, sizeof mark, "%08zu", ++count);
+    Asked asked{std::make_unique<RawPeer>(fleet.io), &one, one.process, cls};
+    const json body{
+        {"model", cls},
+        {"max_tokens", 50},
+        {"messages", {{{"role", "user"}, {"content", tenant + " " + mark + std::string(180, 'x')}}}}};
+    try {
+      asked.peer->connect(one.listen);
+      asked.peer->write(messageText(
+          "POST /v1/chat/completions HTTP/1.1",
+          {{"Authorization", "Bearer " + tenant.substr(0, 1)}, {"Connection", "close"}}, body.dump()));
+    } catch (const boost::system::system_error&) {
+      return;  // it is down: nothing was taken
+    }
+    open.push_back(std::move(asked));
+  }
+  // For so long, at each conductor that runs, a question now and then.
+  void go(double ms) {
+    for (const double until = fleet.clock.nowMs() + ms; fleet.clock.nowMs() < until;) {
+      for (auto& one : fleet.all) {
+        if (one->process <= 0 || one->stopped || open.size() > 60 || random() % 3 != 0) continue;
+        ask(*one, random() % 2 == 0 ? "attiki" : "patras", random() % 3 == 0 ? "c" : "m");
+      }
+      fleet.rest(20);
+      collect();
+    }
+  }
+  void collect() {
+    std::erase_if(open, [this](Asked& asked) {
+      if (!asked.peer->ended()) return false;
+      const std::string& seen = asked.peer->seen;
+      const std::string status = seen.size() > 12 ? seen.substr(9, 3) : "none";
+      // A conductor that was killed answers nobody; every other answers once.
+      if (status == "none" && asked.process == asked.at->process) ++unanswered;
+      if (seen.find("HTTP/1.1", 8) != std::string::npos) ++twice;
+      ++answers[status];
+      if (seen.find("insufficient_quota") != std::string::npos) ++overBudget;
+      return true;
+    });
+  }
+  void finish() {
+    EXPECT_TRUE(waitFor(fleet.io, 30, [&] {
+      collect();
+      return open.empty();
+    }));
+  }
+  std::uint64_t tokensOf(const std::string& tenant) const {
+    std::uint64_t sum = 0;
+    for (const Made& one : made) sum += one.tenant == tenant ? one.tokens : 0;
+    return sum;
+  }
+
+  Conductors& fleet;
+  std::mt19937 random;
+  std::set<std::string> silent;
+  std::vector<Made> made;
+  std::vector<Asked> open;
+  std::map<std::string, int> answers;
+  std::size_t count = 0, unanswered = 0, twice = 0, overBudget = 0;
+};
+
+Digest digestOf(Conductors& fleet) {
+  const auto text = fleet.store.value(kPrefix + "doc/digest");
+  return text ? shared::digestOf(*text).digest.value_or(Digest{}) : Digest{};
+}
+
+std::uint64_t billed(Conductors& fleet, const std::string& tenant) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, tally] : digestOf(fleet).total) sum += key.first == tenant ? tally.billed() : 0;
+  return sum;
+}
+
+json sharedAt(Conductors& fleet, Conductors::One& one) {
+  std::string text = callDoor(fleet.io, one.door, "shared json");
+  const std::size_t end = text.rfind("eof\n");
+  return end == std::string::npos ? json{{"degree", "none"}, {"boxes", json::array()}}
+                                  : json::parse(text.substr(0, end));
+}
+
+std::size_t leftOut(const json& said) {
+  std::size_t out = 0;
+  for (const json& box : said["boxes"])
+    out += box["standing"] == "out" || box["standing"] == "trial" || box["standing"] == "own_word";
+  return out;
+}
+
+bool allAre(Conductors& fleet, const std::string& degree) {
+  return std::all_of(fleet.all.begin(), fleet.all.end(),
+                     [&](auto& one) { return sharedAt(fleet, *one)["degree"] == degree; });
+}
+
+class ManyConductorsShare : public ::testing::TestWithParam<std::pair<std::size_t, unsigned>> {};
+
+TEST_P(ManyConductorsShare, KeepBudgetsBillsAndBoxesWhileAThirdHearsNothing) {
+  const auto [count, seed] = GetParam();
+  std::cout << count << " conductors, seed " << seed << "\n";
+  Conductors fleet(count, {"box-1", "box-2", "box-3"}, DAHLIASTALL_PROGRAM, false, sharedFile);
+  ASSERT_TRUE(fleet.allReady()) << fleet.logs();
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] { return allAre(fleet, "connected"); })) << fleet.logs();
+  Clients clients(fleet, seed);
+  clients.go(2'000);
+  // A third hears nothing, one of them only one way; a box goes silent.
+  for (std::size_t i = 0; i < count / 3; ++i)
+    fleet.all[i]->link->set(i == 0 ? FaultLayer::Mode::kDeafUp : FaultLayer::Mode::kCut);
+  clients.silent.insert("box-2");
+  clients.go(3'000);
+  const auto judged = [&] {
+    for (std::size_t i = count / 3; i < count; ++i) {
+      const json said = sharedAt(fleet, *fleet.all[i]);
+      EXPECT_LE(leftOut(said), 1u) << said.dump();
+      if (leftOut(said) == 0) return false;
+    }
+    return true;
+  };
+  EXPECT_TRUE(waitFor(fleet.io, 60,
+                      [&] {
+                        clients.go(200);
+                        return judged();
+                      }))
+      << digestOf(fleet).boxes.size() << fleet.logs();
+  EXPECT_TRUE(digestOf(fleet).boxes.at("box-2").out);
+  EXPECT_TRUE(waitFor(fleet.io, 60, [&] {
+    clients.go(200);
+    for (std::size_t i = 0; i < count / 3; ++i)
+      if (sharedAt(fleet, *fleet.all[i])["degree"] != "alone") return false;
+    return true;
+  }));
+  clients.silent.clear();
+  for (auto& one : fleet.all) one->link->set(FaultLayer::Mode::kPass);
+  clients.go(2'000);
+  clients.finish();
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] { return allAre(fleet, "connected"); })) << fleet.logs();
+  // Nobody died: once all have said their word, the bill is what the boxes made, to the token.
+  EXPECT_TRUE(waitFor(fleet.io, 60,
+                      [&] {
+                        return billed(fleet, "attiki") == clients.tokensOf("attiki") &&
+                               billed(fleet, "patras") == clients.tokensOf("patras");
+                      }))
+      << billed(fleet, "attiki") << " of " << clients.tokensOf("attiki") << ", " << billed(fleet, "patras")
+      << " of " << clients.tokensOf("patras") << "\n"
+      << fleet.logs();
+  // The box comes back by a trial.
+  EXPECT_TRUE(waitFor(fleet.io, 60, [&] {
+    clients.go(200);
+    const auto boxes = digestOf(fleet).boxes;
+    return boxes.count("box-2") == 0 || !boxes.at("box-2").out;
+  }));
+  // A wave: most die at once, under way, and start anew. And on until the budget is used up.
+  for (std::size_t i = 0; i + 2 < count; ++i) fleet.kill(*fleet.all[i]);
+  clients.go(300);
+  for (std::size_t i = 0; i + 2 < count; ++i) fleet.start(*fleet.all[i]);
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] {
+    clients.go(500);
+    return digestOf(fleet).budgets.at("attiki").left == 0 && clients.overBudget > 20;
+  })) << clients.tokensOf("attiki");
+  clients.go(3'000);
+  clients.finish();
+  const std::uint64_t made = clients.tokensOf("attiki");
+  EXPECT_LE(made, kBudget) << "no budget is exceeded, by what the boxes made";
+  // All that was made is accounted for: what lives has said it, what died is charged for all that it may have
+  // used.
+  EXPECT_TRUE(waitFor(fleet.io, 60, [&] {
+    const Digest digest = digestOf(fleet);
+    std::uint64_t known = digest.budgets.at("attiki").charged;
+    for (const auto& [origin, lent] : digest.budgets.at("attiki").lent) {
+      Part part;
+      part.origin = origin;
+      const auto text = fleet.store.value(kPrefix + "doc/" + part.key());
+      const auto own = text ? partOf(*text).part : std::nullopt;
+      if (own && own->spends.count("attiki") != 0) known += own->spends.at("attiki").spent;
+    }
+    return known >= made && known <= kBudget;
+  }));
+  EXPECT_LE(billed(fleet, "attiki"), made);
+  std::map<std::string, int> changes;
+  for (const Made& one : clients.made)
+    if (one.cls == "c") ++changes[one.mark];
+  for (const auto& [mark, times] : changes) EXPECT_EQ(times, 1) << "change " << mark << " ran more than once";
+  EXPECT_EQ(clients.unanswered, 0u);
+  EXPECT_EQ(clients.twice, 0u);
+  std::cout << clients.count << " asked, " << clients.made.size() << " made; attiki " << made << " of "
+            << kBudget << ", billed " << billed(fleet, "attiki") << ", " << clients.overBudget
+            << " refused for the budget\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ManyConductorsShare,
+                         ::testing::Values(std::pair(std::size_t(6), 1U), std::pair(std::size_t(12), 2U)));
+
+// SIGTERM: what is not in use goes back, and the last word is said before the end.
+TEST(AConductorThatEnds, GivesBackWhatItWasLent) {
+  Conductors fleet(3, {"box-1"}, DAHLIASTALL_PROGRAM, false, sharedFile);
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] { return allAre(fleet, "connected"); })) << fleet.logs();
+  Clients clients(fleet, 1);
+  clients.go(3'000);
+  clients.finish();
+  const std::string text = callDoor(fleet.io, fleet.all[0]->door, "shared");
+  EXPECT_NE(text.find("budget attiki limit=40000"), std::string::npos) << text;
+  const Origin first{fleet.all[0]->name, sharedAt(fleet, *fleet.all[0])["incarnation"]};
+  fleet.signal(*fleet.all[0], SIGTERM);
+  int status = -1;
+  ASSERT_TRUE(waitFor(fleet.io, 30, [&] {
+    return ::waitpid(fleet.all[0]->process, &status, WNOHANG) == fleet.all[0]->process;
+  }));
+  fleet.all[0]->process = -1;
+  EXPECT_TRUE(waitFor(fleet.io, 60, [&] { return digestOf(fleet).foldedOf(first) != nullptr; }))
+      << fleet.logs();
+  EXPECT_EQ(billed(fleet, "attiki"), clients.tokensOf("attiki"));
+  EXPECT_EQ(billed(fleet, "patras"), clients.tokensOf("patras"));
+  // Charged is what it spent: the rest of its loan went back.
+  std::uint64_t spent = digestOf(fleet).budgets.at("attiki").charged;
+  EXPECT_LE(spent, clients.tokensOf("attiki"));
+}
+
+// SIGHUP takes over another budget; a file that cannot be used leaves the old one.
+TEST(AChangedBudget, IsTakenOverAndABadFileIsNot) {
+  Conductors fleet(1, {"box-1"}, DAHLIASTALL_PROGRAM, false, sharedFile);
+  Conductors::One& one = *fleet.all[0];
+  const auto limit = [&] {
+    return digestOf(fleet).budgets.count("attiki") == 0 ? 0 : digestOf(fleet).budgets.at("attiki").limit;
+  };
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] { return limit() == kBudget; })) << fleet.logs();
+  const auto rewrite = [&](const json& budget) {
+    json file = fleet.fileOf(one);
+    file["shared"]["budgets"]["attiki"] = budget;
+    std::ofstream(one.file) << file.dump();
+    fleet.signal(one, SIGHUP);
+  };
+  rewrite(-5);
+  ASSERT_TRUE(waitFor(fleet.io, 60, [&] {
+    return fleet.logs().find("shared.budgets.attiki is not a whole number") != std::string::npos;
+  })) << fleet.logs();
+  EXPECT_EQ(limit(), kBudget);
+  rewrite(7'000);
+  EXPECT_TRUE(waitFor(fleet.io, 60, [&] { return limit() == 7'000u; })) << fleet.logs();
+}
+
+}  // namespace
+}  // namespace dahliastall
