--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -20,8 +20,6 @@
 // An idle connection is retired at this share of the time after which the box closes it, so that no request
 // is ever written to one that is being closed.
 constexpr double kIdleShare = 0.6;
-// For a release: its limit on sockets is the settings' and 300 ms more; this much of that is not used.
-constexpr double kReleaseExtraMs = 200;
 // Connections arrive for 0.2 to 0.4 s after SIGTERM, so the door stays open a little longer.
 constexpr double kDoorOpenMs = 500;
 // A planned restart on the platform: SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3
@@ -69,8 +67,7 @@
       pool(io, clock, deadlines, counters,
            {boxConnections, core::toMs(setup.settings.limits.dialTimeout), idleCloseMs * kIdleShare,
             kAnswerBytes}),
-      boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters,
-            core::toMs(setup.settings.contract.releaseWithin) + kReleaseExtraMs),
+      boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters),
       signals_(io, SIGTERM, SIGINT, SIGUSR1) {
   for (std::size_t i = 0; i < kOwnDescriptors; ++i) ledger.force(admission::Account::kOwn);
   pool.accountTo(ledger, admission::Account::kBoxes);
@@ -81,7 +78,7 @@
 void Engine::reconfigure(const leverrelay::Settings& settings, fronts::BoxDialect dialect) {
   conductor.reconfigure(settings);
   pool.dialWithin(core::toMs(settings.limits.dialTimeout));
-  boxes.reconfigure(std::move(dialect), core::toMs(settings.contract.releaseWithin) + kReleaseExtraMs);
+  boxes.reconfigure(std::move(dialect));
 }
 
 void Engine::run(net::Listener& listener, const Ending& ending, std::function<void()> reload) {
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -16,6 +16,10 @@
 // How long past deadline and grace the module may leave a request without an answer before the core gives
 // one.
 constexpr double kOverdueMs = 10;
+// A stream that is to move is looked at so often until what has come of it is passed on; a client that reads
+// slowly may keep that from happening, and no longer than this.
+constexpr double kMoveLookMs = 5;
+constexpr int kMoveLooks = 20;
 
 const char* nameOf(Outcome outcome) {
   switch (outcome) {
@@ -162,11 +166,16 @@
 
 bool Conductor::mayHold(const EngineId& engine) const { return within(engine); }
 
-bool Conductor::maySend(AttemptKey key) const {
+// A client's close may have come while its handler still waits for its turn: no attempt begins for who has
+// gone.
+bool Conductor::maySend(AttemptKey key) {
   const Attempt* a = attempts_.find(key);
   if (a == nullptr || !within(a->engine)) return false;
   const Request* r = requests_.find(a->request);
-  return r != nullptr && r->answerer && clock_.nowMs() < r->deadlineMs;
+  if (r == nullptr || !r->answerer || clock_.nowMs() >= r->deadlineMs) return false;
+  if (r->answerer->present()) return true;
+  clientGone(a->request);
+  return false;
 }
 
 bool Conductor::passed(AttemptKey key, std::string_view part) {
@@ -464,9 +473,21 @@
 }
 
 void Conductor::carryOut(const MoveStream& move) {
-  Request* r = byId(move.request);
-  if (r == nullptr || !r->streaming || attempts_.find(r->stream) == nullptr) return;
-  const AttemptKey key = r->stream;
+  const Request* r = byId(move.request);
+  if (r == nullptr || !r->streaming) return;
+  moveOnceRead(r->stream, kMoveLooks);
+}
+
+// Guards a stream that its engine has finished: what has come is passed on first, and with it perhaps the
+// end.
+void Conductor::moveOnceRead(AttemptKey key, int looks) {
+  const Attempt* a = attempts_.find(key);
+  if (a == nullptr) return;
+  const Request* r = requests_.find(a->request);
+  if (r->answerer && looks > 0 && engines_->unread(key)) {
+    deadlines_.add(clock_.nowMs() + kMoveLookMs, [this, key, looks] { moveOnceRead(key, looks - 1); });
+    return;
+  }
   engines_->abandon(key);
   close(key, {Outcome::kConnectionLost});
 }
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -49,7 +49,7 @@
   void list(leverrelay::ListNews news) override;
 
   // From the engines' side.
-  bool maySend(AttemptKey key) const;  // asked again just before a send that had to wait is written
+  bool maySend(AttemptKey key);  // asked again just before a send that had to wait is written
   bool mayHold(const leverrelay::EngineId& engine) const;
   bool passed(AttemptKey key, std::string_view part);
   void written(AttemptKey key);  // the attempt's last byte is out
@@ -121,6 +121,7 @@
   void carryOut(const leverrelay::HoldPlace& hold);
   void carryOut(const leverrelay::Cancel& cancel);
   void carryOut(const leverrelay::MoveStream& move);
+  void moveOnceRead(AttemptKey key, int looks);
 
   Request* byId(const leverrelay::RequestId& id);
   void timeOut(AttemptKey key);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -36,6 +36,8 @@
   virtual bool pass(std::string_view part) = 0;     // part of the stream; false: wait for clientReady()
   virtual void end() = 0;                           // the stream is whole
   virtual void broken() = 0;                        // the stream ends unfinished
+  // Whether the client is still there at this very moment, whatever has been told of it so far.
+  virtual bool present() const { return true; }
 };
 
 // Whoever wants to hear of the fleet list.
@@ -60,6 +62,8 @@
   virtual void start(const Dispatch& dispatch) = 0;
   virtual void abandon(AttemptKey attempt) = 0;
   virtual void resume(AttemptKey attempt) = 0;  // after Conductor::passed() said to wait
+  // Whether more of its answer has come than was passed on, its end included.
+  virtual bool unread(AttemptKey attempt) const = 0;
   virtual void holdPlace(const leverrelay::RequestId& request, AttemptKey reading,
                          const leverrelay::EngineId& engine) = 0;
   virtual void release(const leverrelay::RequestId& request) = 0;
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr double kReleaseTryMs = 60;     // for a box to answer a release before another is tried
-constexpr double kReleasePauseMs = 20;   // after no box could be reached
 constexpr double kPlaceAnswerMs = 1000;  // a box answers within 0.3 s, or is silent
 constexpr double kProbeAnswerMs = 1000;
 constexpr double kLastChunkMs = 1000;  // to follow the event that ends a stream
@@ -161,13 +159,18 @@
 
 // ---- Places, releases and probes -------------------------------------------------------------------
 
+// Whatever becomes of it, it settles once. One that was written and got no clear no may be held all the same,
+// also when its read has ended, and nobody else would let go of it then.
 class Boxes::PlaceCall final : public net::CallSink {
  public:
-  PlaceCall(Boxes& boxes, core::AttemptKey reading, EngineId engine)
-      : boxes_(boxes), reading_(reading), engine_(std::move(engine)) {}
+  PlaceCall(Boxes& boxes, RequestId request, core::AttemptKey reading, EngineId engine)
+      : boxes_(boxes), request_(std::move(request)), reading_(reading), engine_(std::move(engine)) {
+    boxes_.releases_.placeAsked(request_);
+  }
 
   // After its read has ended a place would only be pinned.
   bool ready() override { return boxes_.attempt(reading_) && boxes_.conductor_.mayHold(engine_); }
+  void written() override { written_ = true; }
   void head(const net::ResponseHead& head) override {
     status_ = head.result_int();
     boxes_.heard(engine_);
@@ -177,53 +180,25 @@
     // 204: not known; it may be held, and a note that it is not would be a guess.
     if (status_ == 200) boxes_.conductor_.placeAnswered(reading_, engine_, true);
     if (status_ == 409 || status_ == 404) boxes_.conductor_.placeAnswered(reading_, engine_, false);
+    settle(status_ == 200 || status_ == 409 || status_ == 404);
   }
-  void failed(net::CallFailure) override {}
+  void failed(net::CallFailure) override { settle(!written_); }
+  void givenUp() { settle(!written_); }
 
  private:
-  Boxes& boxes_;
-  core::AttemptKey reading_;
-  EngineId engine_;
-  unsigned status_ = 0;
-};
-
-class Boxes::ReleaseCall final : public net::CallSink {
- public:
-  ReleaseCall(Boxes& boxes, RequestId request, EngineId engine)
-      : boxes_(boxes), request_(std::move(request)), engine_(std::move(engine)) {}
-
-  void watch(std::shared_ptr<net::Call> call) {
-    if (over_) return;
-    limit_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + kReleaseTryMs, [this, call = std::move(call)] {
-      limit_.reset();
-      call->abandon();
-      failed(net::CallFailure::kReset);
-    });
-  }
-  void head(const net::ResponseHead& head) override {
-    boxes_.heard(engine_);
-    through_ = head.result_int() / 100 == 2;
-  }
-  void done() override { end(through_); }
-  void failed(net::CallFailure why) override {
-    if (why != net::CallFailure::kWithdrawn) boxes_.unheard(engine_);
-    end(false);
-  }
-
- private:
-  void end(bool through) {
-    over_ = true;
-    boxes_.deadlines_.cancel(limit_);
-    Boxes& boxes = boxes_;
-    const RequestId request = request_;
-    boxes.released(request, through);
+  void settle(bool known) {
+    boxes_.releases_.placeSettled(request_);
+    if (known || boxes_.attempt(reading_)) return;
+    ++boxes_.counters_["places.doubtful"];
+    boxes_.releases_.release(request_);
   }
 
   Boxes& boxes_;
   RequestId request_;
+  core::AttemptKey reading_;
   EngineId engine_;
-  std::optional<core::Deadlines::Key> limit_;
-  bool through_ = false, over_ = false;
+  unsigned status_ = 0;
+  bool written_ = false;
 };
 
 class Boxes::ProbeCall final : public net::CallSink {
@@ -248,8 +223,7 @@
 // ---- Boxes -----------------------------------------------------------------------------------------
 
 Boxes::Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
-             const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
-             double releaseWithinMs)
+             const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters)
     : dialect_(std::move(dialect)),
       conductor_(conductor),
       pool_(pool),
@@ -257,7 +231,10 @@
       clock_(clock),
       deadlines_(deadlines),
       counters_(counters),
-      releaseWithinMs_(releaseWithinMs) {
+      releases_(pool, directory, clock, deadlines, counters,
+                [this](const RequestId& request, const Box& box) {
+                  return head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
+                }) {
   conductor_.connect(*this);
 }
 
@@ -266,12 +243,7 @@
   for (const auto& [slot, sink] : attempts_) sink->call().abandon();
 }
 
-void Boxes::reconfigure(BoxDialect dialect, double releaseWithinMs) {
-  dialect_ = std::move(dialect);
-  releaseWithinMs_ = releaseWithinMs;
-}
-
-std::shared_ptr<Boxes::AttemptCall> Boxes::attempt(core::AttemptKey key) {
+std::shared_ptr<Boxes::AttemptCall> Boxes::attempt(core::AttemptKey key) const {
   const auto it = attempts_.find(key.slot);
   return it == attempts_.end() || it->second->key() != key ? nullptr : it->second;
 }
@@ -301,6 +273,7 @@
                      {dialect_.budgetHeader, std::to_string(static_cast<long>(left))},
                      {"Content-Length", std::to_string(payload.body->size())}};
   if (!payload.contentType.empty()) fields.emplace_back("Content-Type", payload.contentType);
+  releases_.attemptGoesOut(dispatch.request);
   const auto sink = std::make_shared<AttemptCall>(*this, dispatch);
   attempts_[dispatch.attempt.slot] = sink;
   sink->hold(pool_.call(box->address, head(payload.method, payload.target, *box, std::move(fields)),
@@ -353,88 +326,35 @@
   sink->call().resume();
 }
 
+// One whose last event has come is all but over, too.
+bool Boxes::unread(core::AttemptKey key) const {
+  const auto sink = attempt(key);
+  return sink && (sink->finished() || sink->call().unread());
+}
+
+// A release that is still under way would let go of the new place as well.
 void Boxes::holdPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
-  const auto release = releases_.find(request);
-  const auto ask = [this, reading, engine] {
+  releases_.afterwards(request, [this, reading, engine] {
     if (const auto sink = attempt(reading)) sink->placeAt(engine);
-  };
-  // A release that is still under way would let go of the new place as well.
-  if (release != releases_.end()) release->second.after.emplace_back(ask);
-  else ask();
+  });
 }
 
 void Boxes::askPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
   const Box* box = directory_.find(engine);
   if (box == nullptr) return;
-  const auto call =
-      pool_.call(box->address,
-                 // No id in its head: a call that carries one could be taken for an attempt.
-                 head("POST", dialect_.roomsPath + request.value, *box, {{"Content-Length", "0"}}), nullptr,
-                 std::make_shared<PlaceCall>(*this, reading, engine));
-  deadlines_.add(clock_.nowMs() + kPlaceAnswerMs, [call] { call->abandon(); });
-}
-
-void Boxes::release(const RequestId& request) {
-  auto [it, fresh] = releases_.try_emplace(request);
-  if (!fresh) {
-    it->second.again = true;
-    return;
-  }
-  it->second.giveUpMs = clock_.nowMs() + releaseWithinMs_;
-  tryRelease(request);
-}
-
-// Any live box passes a release on to all. First one with a connection at hand, of those the one heard last;
-// one that lately failed comes after those that did not.
-const EngineId* Boxes::nextForRelease(const std::set<EngineId>& tried) {
-  const EngineId* best = nullptr;
-  std::tuple<bool, bool, double> most;
-  for (const auto& [engine, box] : directory_.all()) {
-    if (tried.count(engine) != 0 || box.presence == leverrelay::Presence::kGone) continue;
-    const std::tuple<bool, bool, double> worth{box.heardMs >= box.failedMs, pool_.hasIdle(box.address),
-                                               box.heardMs};
-    if (best != nullptr && worth <= most) continue;
-    best = &engine;
-    most = worth;
-  }
-  return best;
-}
-
-void Boxes::tryRelease(const RequestId& request) {
-  Releasing& state = releases_.at(request);
-  const EngineId* const next = nextForRelease(state.tried);
-  if (next == nullptr && !state.tried.empty()) {  // once round; a box may be back after a breath
-    state.tried.clear();
-    state.call.reset();
-    deadlines_.add(clock_.nowMs() + kReleasePauseMs, [this, request] {
-      const auto it = releases_.find(request);
-      if (it != releases_.end() && !it->second.call) tryRelease(request);
-    });
-    return;
-  }
-  if (next == nullptr) return released(request, true);  // no boxes, so nothing is held anywhere
-  const EngineId engine = *next;
-  state.tried.insert(engine);
-  const Box& box = *directory_.find(engine);
-  const auto sink = std::make_shared<ReleaseCall>(*this, request, engine);
-  state.call = sink;
-  ++counters_["releases.tried"];
-  sink->watch(pool_.call(box.address,
-                         head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}}),
-                         nullptr, sink));
+  const auto sink = std::make_shared<PlaceCall>(*this, request, reading, engine);
+  const auto call = pool_.call(
+      box->address,
+      // No id in its head: a call that carries one could be taken for an attempt.
+      head("POST", dialect_.roomsPath + request.value, *box, {{"Content-Length", "0"}}), nullptr, sink);
+  deadlines_.add(clock_.nowMs() + kPlaceAnswerMs, [call, sink] {
+    if (call->state() == net::Call::State::kOver) return;
+    call->abandon();
+    sink->givenUp();
+  });
 }
 
-void Boxes::released(const RequestId& request, bool through) {
-  const auto it = releases_.find(request);
-  if (it == releases_.end()) return;
-  if (!through && clock_.nowMs() < it->second.giveUpMs) return tryRelease(request);
-  if (!through) ++counters_["releases.given_up"];
-  const auto after = std::exchange(it->second.after, {});
-  const bool again = it->second.again;
-  releases_.erase(it);
-  if (again) release(request);
-  for (const auto& ask : after) ask();
-}
+void Boxes::release(const RequestId& request) { releases_.release(request); }
 
 void Boxes::probe(const EngineId& engine) {
   const Box* box = directory_.find(engine);
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -5,11 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "core/conductor.h"
 #include "fronts/boxes/directory.h"
+#include "fronts/boxes/releases.h"
 #include "net/message.h"
 #include "net/pool.h"
 
@@ -33,13 +33,13 @@
 class Boxes final : public core::Engines {
  public:
   Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
-        const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
-        double releaseWithinMs);
+        const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters);
   ~Boxes() override;
 
   void start(const core::Dispatch& dispatch) override;
   void abandon(core::AttemptKey attempt) override;
   void resume(core::AttemptKey attempt) override;
+  bool unread(core::AttemptKey attempt) const override;
   void holdPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
                  const leverrelay::EngineId& engine) override;
   void release(const leverrelay::RequestId& request) override;
@@ -58,29 +58,18 @@
   bool adopt(core::AttemptKey attempt, const leverrelay::RequestId& request,
              const leverrelay::EngineId& engine, const net::Endpoint& address, const Rest& rest);
 
-  void reconfigure(BoxDialect dialect, double releaseWithinMs);
+  void reconfigure(BoxDialect dialect) { dialect_ = std::move(dialect); }
 
-  std::size_t releasing() const { return releases_.size(); }
+  std::size_t releasing() const { return releases_.underWay(); }
 
  private:
   class AttemptCall;
   class PlaceCall;
-  class ReleaseCall;
   class ProbeCall;
-  struct Releasing {
-    std::shared_ptr<ReleaseCall> call;
-    std::set<leverrelay::EngineId> tried;
-    double giveUpMs = 0;
-    bool again = false;  // asked for once more meanwhile: what the first could not see may be held now
-    std::vector<std::function<void()>> after;
-  };
 
-  std::shared_ptr<AttemptCall> attempt(core::AttemptKey key);
+  std::shared_ptr<AttemptCall> attempt(core::AttemptKey key) const;
   void askPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
                 const leverrelay::EngineId& engine);
-  void tryRelease(const leverrelay::RequestId& request);
-  void released(const leverrelay::RequestId& request, bool through);
-  const leverrelay::EngineId* nextForRelease(const std::set<leverrelay::EngineId>& tried);
   std::string head(const std::string& method, const std::string& target, const Box& box,
                    net::Fields fields) const;
   void heard(const leverrelay::EngineId& engine);
@@ -93,9 +82,8 @@
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
   core::Counters& counters_;
-  double releaseWithinMs_;
   std::map<std::uint32_t, std::shared_ptr<AttemptCall>> attempts_;  // by the number of the core's slot
-  std::map<leverrelay::RequestId, Releasing> releases_;
+  Releases releases_;
 };
 
 }  // namespace dahliastall::fronts
--- /dev/null
+++ b/src/fronts/boxes/releases.cpp
@@ -0,0 +1,210 @@
+#include "fronts/boxes/releases.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dahliastall::fronts {
+
+using leverrelay::EngineId;
+using leverrelay::RequestId;
+
+namespace {
+
+constexpr double kCallMs = 400;  // for one call: a connection that comes up late, and the answer
+constexpr double kPauseMs = 20;  // after nobody could be asked
+// Calls of all releases together: where nobody hears, many releases with many calls each would fill the line
+// for connections. Beyond it each release still asks one at a time.
+constexpr std::size_t kMostOut = 128;
+
+}  // namespace
+
+class Releases::Carrier final : public net::CallSink {
+ public:
+  Carrier(Releases& owner, RequestId request, EngineId engine, std::uint64_t number)
+      : owner_(owner), request_(std::move(request)), engine_(std::move(engine)), number_(number) {}
+
+  void head(const net::ResponseHead& head) override {
+    if (Box* box = owner_.directory_.find(engine_)) box->heardMs = owner_.clock_.nowMs();
+    through_ = head.result_int() / 100 == 2;
+  }
+  void done() override { owner_.answered(request_, number_, through_); }
+  void failed(net::CallFailure why) override {
+    if (why != net::CallFailure::kWithdrawn) unheard();
+    owner_.answered(request_, number_, false);
+  }
+  void unheard() {
+    if (Box* box = owner_.directory_.find(engine_)) box->failedMs = owner_.clock_.nowMs();
+  }
+
+ private:
+  Releases& owner_;
+  RequestId request_;
+  EngineId engine_;
+  std::uint64_t number_;
+  bool through_ = false;
+};
+
+Releases::Releases(net::Pool& pool, Directory& directory, const core::Clock& clock,
+                   core::Deadlines& deadlines, core::Counters& counters, Head head)
+    : pool_(pool),
+      directory_(directory),
+      clock_(clock),
+      deadlines_(deadlines),
+      counters_(counters),
+      head_(std::move(head)) {}
+
+// A call and its sink hold each other while it runs.
+Releases::~Releases() {
+  for (auto& [request, state] : releases_) {
+    deadlines_.cancel(state.next);
+    for (const auto& [number, call] : state.calls) call->abandon();
+  }
+}
+
+void Releases::release(const RequestId& request) {
+  auto [it, fresh] = releases_.try_emplace(request, clock_.nowMs());
+  if (!fresh) {
+    it->second.forgotten = false;
+    // Between its two times nothing is under way, so that the second one can begin at once.
+    if (it->second.course.settling()) it->second.course.anew(clock_.nowMs());
+    else it->second.again = true;
+  }
+  step(request);
+}
+
+void Releases::attemptGoesOut(const RequestId& request) {
+  const auto it = releases_.find(request);
+  if (it == releases_.end()) return;
+  it->second.forgotten = true;
+  it->second.again = false;
+  if (it->second.course.settling()) finish(request);
+}
+
+void Releases::afterwards(const RequestId& request, std::function<void()> what) {
+  const auto it = releases_.find(request);
+  if (it != releases_.end() && !it->second.course.settling()) it->second.after.push_back(std::move(what));
+  else what();
+}
+
+void Releases::placeSettled(const RequestId& request) {
+  const auto it = placesOut_.find(request);
+  if (it == placesOut_.end()) return;
+  if (--it->second > 0) return;
+  placesOut_.erase(it);
+  const auto releasing = releases_.find(request);
+  if (releasing == releases_.end()) return;
+  if (releasing->second.course.settling()) step(request);
+  else releasing->second.again = !releasing->second.forgotten;
+}
+
+// First one with a connection at hand, of those the one heard last; one that lately failed comes after those
+// that did not.
+const EngineId* Releases::best(const std::set<EngineId>& tried) const {
+  const EngineId* best = nullptr;
+  std::tuple<bool, bool, double> most;
+  for (const auto& [engine, box] : directory_.all()) {
+    if (tried.count(engine) != 0 || box.presence == leverrelay::Presence::kGone) continue;
+    const std::tuple<bool, bool, double> worth{box.heardMs >= box.failedMs, pool_.hasIdle(box.address),
+                                               box.heardMs};
+    if (best != nullptr && worth <= most) continue;
+    best = &engine;
+    most = worth;
+  }
+  return best;
+}
+
+// The one place in which a release moves on: asks more, begins its second time, or ends.
+void Releases::step(const RequestId& request) {
+  const auto it = releases_.find(request);
+  if (it == releases_.end()) return;
+  Releasing& state = it->second;
+  const double now = clock_.nowMs();
+  deadlines_.cancel(state.next);
+  if (state.course.settling() && now >= state.course.nextMs() && placesOut_.count(request) == 0)
+    state.course.settled(now);
+  if (state.course.over(now)) {
+    if (!state.course.done()) ++counters_["releases.given_up"];
+    return finish(request);
+  }
+  std::size_t due = state.course.due(now, state.calls.size());
+  if (out_ >= kMostOut) due = std::min<std::size_t>(due, state.calls.empty() ? 1 : 0);
+  bool nobody = false;
+  for (; due > 0 && !nobody; --due) {
+    const EngineId* const next = best(state.tried);
+    nobody = next == nullptr;
+    if (!nobody) ask(request, state, EngineId(*next));
+  }
+  if (directory_.all().empty()) return finish(request);    // no instances, so nothing is held anywhere
+  if (nobody && state.calls.empty()) state.tried.clear();  // once round; one may be back after a breath
+  const double wait =
+      state.course.settling() && now >= state.course.nextMs() ? kPauseMs : state.course.nextMs() - now;
+  state.next = deadlines_.add(now + std::max(wait, kPauseMs), [this, request] {
+    const auto due = releases_.find(request);
+    if (due == releases_.end()) return;
+    due->second.next.reset();
+    step(request);
+  });
+}
+
+void Releases::ask(const RequestId& request, Releasing& state, const EngineId& engine) {
+  const std::uint64_t number = ++calls_;
+  const Box& box = *directory_.find(engine);
+  state.tried.insert(engine);
+  ++counters_["releases.tried"];
+  ++out_;
+  const auto sink = std::make_shared<Carrier>(*this, request, engine, number);
+  const auto call = pool_.call(box.address, head_(request, box), nullptr, sink, net::Pool::Urgency::kFirst);
+  state.calls[number] = call;
+  deadlines_.add(clock_.nowMs() + kCallMs, [this, request, number, call, sink] {
+    if (call->state() == net::Call::State::kOver) return;
+    call->abandon();
+    sink->unheard();
+    answered(request, number, false);
+  });
+}
+
+void Releases::answered(const RequestId& request, std::uint64_t number, bool through) {
+  --out_;
+  const auto it = releases_.find(request);
+  if (it == releases_.end()) return;
+  Releasing& state = it->second;
+  state.calls.erase(number);
+  if (!through) {
+    // The last one asked has failed: no use waiting for the next wave.
+    if (state.calls.empty() && !state.course.settling()) state.course.failed(clock_.nowMs());
+    return step(request);
+  }
+  leaveUnwritten(state);
+  state.tried.clear();
+  if (std::exchange(state.again, false)) state.course.anew(clock_.nowMs());
+  else state.course.taken(clock_.nowMs());
+  for (const auto& go : std::exchange(state.after, {})) go();
+  const auto still = releases_.find(request);
+  if (still == releases_.end()) return;
+  if (still->second.forgotten && still->second.course.settling()) return finish(request);
+  step(request);
+}
+
+// Nobody else needs to be reached. What is written already stays: its answer gives the connection back.
+void Releases::leaveUnwritten(Releasing& state) {
+  std::erase_if(state.calls, [this](const auto& entry) {
+    const auto at = entry.second->state();
+    if (at != net::Call::State::kWaiting && at != net::Call::State::kConnecting) return false;
+    entry.second->abandon();
+    --out_;
+    return true;
+  });
+}
+
+void Releases::finish(const RequestId& request) {
+  const auto it = releases_.find(request);
+  if (it == releases_.end()) return;
+  Releasing state = std::move(it->second);
+  releases_.erase(it);
+  deadlines_.cancel(state.next);
+  leaveUnwritten(state);
+  for (const auto& go : state.after) go();
+}
+
+}  // namespace dahliastall::fronts
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -60,6 +60,7 @@
         promptTokens_(static_cast<std::uint64_t>(promptTokens)) {}
 
   // It has not run, so the libraries may try again by themselves.
+  bool present() const override { return connection_->present(); }
   void refuse(const core::Refusal& refusal) override {
     if (bill_) bill_->refused();
     if (refusal.pastDeadline)
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -88,6 +88,7 @@
   Answer(PlatformFront& front, std::shared_ptr<net::ClientConnection> connection, bool begun = false)
       : front_(front), connection_(std::move(connection)), begun_(begun) {}
 
+  bool present() const override { return connection_->present(); }
   void refuse(const core::Refusal& refusal) override {
     net::Fields fields{{"Content-Type", "text/plain"}};
     if (refusal.retryAfterMs) {
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/client_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
@@ -23,10 +24,11 @@
 constexpr double kYoungMs = 100;           // for a new connection before it has to give way
 constexpr double kSlowOutputMs = 30'000;   // without any progress of what is written
 constexpr double kBreakOffMs = 2'000;      // for what was passed on before a break; 5 s are allowed
-constexpr double kLingerMs = 500;          // for a refused client to stop sending
-constexpr std::size_t kLingerBytes = 256 * 1024;  // and as much as is read of it
-constexpr std::size_t kAheadLimit = 16 * 1024;    // bytes kept of requests ahead of their turn
-constexpr std::size_t kHighMark = 64 * 1024;      // bytes waiting for a slow reader before its stream is held
+constexpr double kLingerMs = 500;          // for a client to close, once it has been told of the end
+constexpr std::size_t kLingerBytes = 256 * 1024;  // and as much as is read of it until then
+constexpr double kAheadLookMs = 50;  // between looks for a client's end behind what is not read yet
+constexpr std::size_t kAheadLimit = 16 * 1024;  // bytes kept of requests ahead of their turn
+constexpr std::size_t kHighMark = 64 * 1024;    // bytes waiting for a slow reader before its stream is held
 constexpr std::size_t kReadSize = 8 * 1024;
 
 // Guards against a request that hides another: what a message with both lengths, or with a coding that is not
@@ -95,12 +97,23 @@
   return state_ == State::kIdle ? Room::kIdle : Room::kNone;
 }
 
+// Room is needed now, so who is being waited for to close is closed at once, and so is who has not asked yet.
 void ClientConnection::giveWay() {
   if (room() != Room::kNone) shut();
 }
 
 void ClientConnection::evict() {
-  if (state_ == State::kIdle || state_ == State::kReading) shut();
+  if (state_ == State::kIdle || state_ == State::kReading || lingering_) shut();
+}
+
+bool ClientConnection::present() const {
+  if (state_ == State::kClosed) return false;
+  const int descriptor = const_cast<boost::asio::ip::tcp::socket&>(socket_).native_handle();
+  pollfd ask{descriptor, POLLRDHUP, 0};
+  if (::poll(&ask, 1, 0) > 0 && (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return false;
+  char byte = 0;
+  const auto seen = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
 }
 
 // ---- Reading ---------------------------------------------------------------------------------------
@@ -145,7 +158,7 @@
   slow_ = deadlines_.add(clock_.nowMs() + afterMs, [self = shared_from_this()] {
     self->slow_.reset();
     if (self->state_ == State::kReading) return self->refuseInput(boost::asio::error::timed_out);
-    if (self->state_ == State::kIdle) self->shut();
+    if (self->state_ == State::kIdle) self->partOnceRead();
   });
 }
 
@@ -171,7 +184,6 @@
       (!parsed || error == http::error::end_of_stream || error == http::error::partial_message))
     return shut();
   keepAlive_ = false;
-  refused_ = true;
   state_ = State::kAnswering;
   if (error == boost::asio::error::timed_out)
     handler_.reject(*this, 408, "the request took too long to arrive");
@@ -193,7 +205,7 @@
     const auto seen = ::recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (seen > 0) {
       // A request ahead of its turn. It is taken out of the kernel, as a close behind it shows only then.
-      if (self->buffer_.size() >= kAheadLimit) return;
+      if (self->buffer_.size() >= kAheadLimit) return self->watchByClock();
       boost::system::error_code fault;
       const std::size_t room = kAheadLimit - self->buffer_.size();
       self->buffer_.commit(self->socket_.read_some(self->buffer_.prepare(room), fault));
@@ -205,6 +217,16 @@
   });
 }
 
+// With more ahead than is kept, readiness says nothing any more: there is always something to read.
+void ClientConnection::watchByClock() {
+  const auto self = shared_from_this();
+  deadlines_.add(clock_.nowMs() + kAheadLookMs, [self] {
+    if (self->state_ != State::kAnswering && self->state_ != State::kStreaming) return;
+    if (!self->present()) return self->shut();
+    self->watchByClock();
+  });
+}
+
 // ---- Writing ---------------------------------------------------------------------------------------
 
 void ClientConnection::answer(unsigned status, Fields fields, std::string_view body) {
@@ -246,7 +268,7 @@
   keepAlive_ = false;
   // What is written already goes out first; a reader that takes none of it is cut by the deadline of flush().
   state_ = State::kFlushing;
-  if (!writes_ && waiting_.empty()) return shut();
+  if (!writes_ && waiting_.empty()) return part();
   // Nothing more comes, so what is left is one time limit's worth, however often some of it gets through.
   const auto self = shared_from_this();
   deadlines_.add(clock_.nowMs() + kBreakOffMs, [self] { self->shut(); });
@@ -257,8 +279,12 @@
 void ClientConnection::closeIdle() {
   if (state_ != State::kIdle) return;
   if (!asked_ && clock_.nowMs() - connected_ < kYoungMs) return expire(kLastMs);
-  // The read under way may have its bytes already, though its handler has not run: it says so when it is
-  // called off.
+  partOnceRead();
+}
+
+// The read under way may have its bytes already, though its handler has not run: it says so when it is called
+// off.
+void ClientConnection::partOnceRead() {
   leaving_ = true;
   boost::system::error_code ignored;
   socket_.cancel(ignored);
@@ -268,7 +294,7 @@
   leaving_ = false;
   char byte = 0;
   if (::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) return read();
-  shut();
+  part();
 }
 
 void ClientConnection::put(std::string_view bytes) {
@@ -300,27 +326,34 @@
 }
 
 void ClientConnection::finished() {
-  if (refused_) return linger();
-  if (!keepAlive_) return shut();
+  if (!keepAlive_) return part();
   idleSince_ = clock_.nowMs();
   owner_.rests(*this);
   // The watch on the answered request must not take the next one's bytes for a close; it ends by itself.
-  if (owner_.draining() && buffer_.size() == 0) return shut();
+  if (owner_.draining() && buffer_.size() == 0) return part();
   read();
 }
 
-// Closing with input unread would reset the connection and take the 4xx from the client's hands: what it
-// still sends is read and dropped for a moment.
-void ClientConnection::linger() {
+// The end of a connection from this side. Closing with input unread, or as input arrives, would reset it and
+// take what was written last from the client's hands: so this side ends its sending, reads and drops what
+// still comes, and closes when the client has, within bounds. Nothing that is read from here on is a request.
+void ClientConnection::part() {
+  if (state_ == State::kClosed || lingering_) return;
+  state_ = State::kFlushing;
+  lingering_ = true;
   const auto self = shared_from_this();
   boost::system::error_code ignored;
-  if (!std::exchange(lingering_, true)) {
-    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    slow_ = deadlines_.add(clock_.nowMs() + kLingerMs, [self] {
-      self->slow_.reset();
-      self->shut();
-    });
-  }
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  deadlines_.cancel(slow_);
+  slow_ = deadlines_.add(clock_.nowMs() + kLingerMs, [self] {
+    self->slow_.reset();
+    self->shut();
+  });
+  linger();
+}
+
+void ClientConnection::linger() {
+  const auto self = shared_from_this();
   buffer_.clear();
   socket_.async_read_some(buffer_.prepare(kReadSize),
                           [self](const boost::system::error_code& error, std::size_t count) {
@@ -333,7 +366,8 @@
 
 void ClientConnection::shut() {
   if (state_ == State::kClosed) return;
-  const bool owed = state_ == State::kAnswering || state_ == State::kStreaming || state_ == State::kFlushing;
+  const bool owed = state_ == State::kAnswering || state_ == State::kStreaming ||
+                    (state_ == State::kFlushing && !lingering_);
   state_ = State::kClosed;
   deadlines_.cancel(slow_);
   boost::system::error_code ignored;
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -60,6 +60,9 @@
   void identify(const std::string& who) { owner_.identified(*this, who); }
   State state() const { return state_; }
   double idleSinceMs() const { return idleSince_; }
+  // Whether the client is still there, by what its machine has said up to this moment: its close may have
+  // come and its handler not have run yet, or stand behind requests that are not read before their turn.
+  bool present() const;
   // Whether it may be closed to make room: no request of it is open. Those come first that never sent a whole
   // one, though each gets a moment for it.
   enum class Room { kNone, kIdle, kNeverAsked };
@@ -89,10 +92,13 @@
   void onRead(const boost::system::error_code& error);
   void refuseInput(const boost::system::error_code& error);
   void watch();
+  void watchByClock();
   void expire(double afterMs);
   void put(std::string_view bytes);
   void flush();
   void finished();
+  void part();
+  void partOnceRead();
   void linger();
   void shut();
   void leaveIfQuiet();
@@ -109,7 +115,7 @@
   State state_ = State::kIdle;
   double connected_ = 0, idleSince_ = 0, firstByte_ = 0;
   std::size_t dropped_ = 0;  // bytes read after a refusal
-  bool keepAlive_ = true, writes_ = false, held_ = false, watching_ = false, refused_ = false, asked_ = false,
+  bool keepAlive_ = true, writes_ = false, held_ = false, watching_ = false, asked_ = false,
        lingering_ = false, leaving_ = false;
 };
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -38,10 +38,16 @@
 // ---- Call ------------------------------------------------------------------------------------------
 
 Call::Call(Pool& pool, const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
-           std::shared_ptr<CallSink> sink)
-    : pool_(pool), to_(to), head_(std::move(head)), body_(std::move(body)), sink_(std::move(sink)) {}
+           std::shared_ptr<CallSink> sink, bool urgent)
+    : pool_(pool),
+      to_(to),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      sink_(std::move(sink)),
+      urgent_(urgent) {}
 
 void Call::begin(std::shared_ptr<Link> link, bool fresh) {
+  pool_.deadlines_.cancel(dial_);  // of the time in line
   link_ = std::move(link);
   expectAnswer();
   if (fresh) connect();
@@ -256,6 +262,12 @@
   if (link) pool_.close(link);
 }
 
+bool Call::unread() const {
+  if (!link_) return false;
+  char byte = 0;
+  return ::recv(link_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::shared_ptr<CallSink> Call::finish() {
   state_ = State::kOver;
   pool_.deadlines_.cancel(dial_);
@@ -274,12 +286,20 @@
 }
 
 std::shared_ptr<Call> Pool::call(const Endpoint& to, std::string head,
-                                 std::shared_ptr<const std::string> body, std::shared_ptr<CallSink> sink) {
-  const auto call = std::make_shared<Call>(*this, to, std::move(head), std::move(body), std::move(sink));
-  if (!admit(call)) {
-    ++counters_["calls.waited"];
-    waiting_.push_back(call);  // the caller's deadline takes it out of the line by abandon()
-  }
+                                 std::shared_ptr<const std::string> body, std::shared_ptr<CallSink> sink,
+                                 Urgency urgency) {
+  const bool urgent = urgency == Urgency::kFirst;
+  const auto call =
+      std::make_shared<Call>(*this, to, std::move(head), std::move(body), std::move(sink), urgent);
+  if (admit(call)) return call;
+  ++counters_["calls.waited"];
+  const auto behind = [](const auto& other) { return !other->urgent_; };
+  waiting_.insert(urgent ? std::find_if(waiting_.begin(), waiting_.end(), behind) : waiting_.end(), call);
+  // The caller may take it out of the line before by abandon().
+  call->dial_ = deadlines_.add(clock_.nowMs() + limits_.dialMs, [call] {
+    call->dial_.reset();
+    call->fail(CallFailure::kWithdrawn);
+  });
   return call;
 }
 
@@ -288,8 +308,9 @@
     call->begin(std::move(link), false);
     return true;
   }
-  if (!room() && !idle_.empty()) close(idle_.front());
-  if (!room()) return false;
+  const Urgency urgency = call->urgent_ ? Urgency::kFirst : Urgency::kInTurn;
+  if (!room(urgency) && !idle_.empty()) close(idle_.front());
+  if (!room(urgency)) return false;
   auto link = std::make_shared<Link>(io_);
   link->to = call->to_;
   ++open_;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -63,10 +63,11 @@
   enum class State { kWaiting, kConnecting, kWriting, kHead, kBody, kOver };
 
   Call(Pool& pool, const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
-       std::shared_ptr<CallSink> sink);
+       std::shared_ptr<CallSink> sink, bool urgent = false);
 
   State state() const { return state_; }
-  void abandon();  // closes the connection; the sink hears no more
+  void abandon();       // closes the connection; the sink hears no more
+  bool unread() const;  // something has come that the sink has not been given
   void resume();
   void garbled() { fail(CallFailure::kGarbled); }  // the sink cannot read the body
 
@@ -112,7 +113,7 @@
   std::uint64_t announced_ = 0, received_ = 0;  // bytes of chunks
   int interim_ = 0;
   State state_ = State::kWaiting;
-  bool paused_ = false, headSeen_ = false, reading_ = false;
+  bool paused_ = false, headSeen_ = false, reading_ = false, urgent_ = false;
 };
 
 class Pool {
@@ -128,8 +129,12 @@
        core::Counters& counters, Limits limits);
   ~Pool();
 
+  // kFirst: goes ahead of all that wait for a connection, and may use the reserve.
+  enum class Urgency { kInTurn, kFirst };
+  // A call that has not got a connection within the time for one to come up is withdrawn: to whoever counts
+  // when it was sent, waiting here is the same as a dial that hangs.
   std::shared_ptr<Call> call(const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
-                             std::shared_ptr<CallSink> sink);
+                             std::shared_ptr<CallSink> sink, Urgency urgency = Urgency::kInTurn);
   // Takes up what another process left off; the descriptor is this one's now. Goes on with goOn().
   std::shared_ptr<Call> adopt(const Endpoint& from, const Call::Rest& rest, std::shared_ptr<CallSink> sink);
   void dropIdle(const Endpoint& to);
@@ -149,7 +154,12 @@
   using Idle = std::list<std::shared_ptr<Link>>;  // in the order they fell idle
 
   bool admit(const std::shared_ptr<Call>& call);
-  bool room() const { return open_ < limits_.connections && (ledger_ == nullptr || ledger_->may(account_)); }
+  // A part of the connections is kept for what is urgent; none where there are too few to share.
+  std::size_t reserve() const { return limits_.connections / 16; }
+  bool room(Urgency urgency) const {
+    const std::size_t kept = urgency == Urgency::kFirst ? 0 : reserve();
+    return open_ + kept < limits_.connections && (ledger_ == nullptr || ledger_->may(account_));
+  }
   std::shared_ptr<Link> takeIdle(const Endpoint& to);
   void give(std::shared_ptr<Link> link);
   void close(std::shared_ptr<Link> link);  // by value: the caller's may stand in the list it leaves
@@ -162,7 +172,7 @@
   core::Counters& counters_;
   Limits limits_;
   Idle idle_;
-  std::deque<std::shared_ptr<Call>> waiting_;
+  std::deque<std::shared_ptr<Call>> waiting_;  // the urgent ones first
   admission::Ledger* ledger_ = nullptr;
   admission::Account account_ = admission::Account::kBoxes;
   std::size_t open_ = 0;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -906,15 +906,16 @@
       r.pinned = !r.openedAt;
       return close(r);
     }
-    const bool up = ended.outcome != Outcome::kNoConnection;
-    if (up) r.readAt = now_;  // what never came up was no send: the state's time goes on
+    const bool sent = ended.outcome != Outcome::kNoConnection && ended.outcome != Outcome::kNotSent;
+    if (sent) r.readAt = now_;  // what never came up was no send: the state's time goes on
     if (ended.outcome == Outcome::kRead) {
       r.reader = &e;
       return toWrite(r);
     }
     if (now_ >= r.deadline) return finish(r);
     const bool wrote = r.phase == Phase::kWriting && e.role == Role::kWriter && r.reader != nullptr;
-    again(r, e, wrote && !ended.stateGone && (up || now_ - r.readAt < set_.contract.releaseWithin));
+    const Time tried = now_ + set_.limits.dialTimeout;  // if the next never comes up either
+    again(r, e, wrote && !ended.stateGone && (sent || tried - r.readAt < set_.contract.releaseWithin));
   }
 
   void learnRead(const Request& r, const Attempt& a, const AttemptEnded& ended) {
@@ -1044,8 +1045,7 @@
   std::mt19937_64 random_;
   Flow arrivals_, sends_[3], writerReads_;  // sends by role; tokens sent to be read by writers
   Flow reads_, timely_;                     // reads that ended, and those of them in time
-  std::array<double, 3> weight_{}, mostWeight_{},
-      count_{};  // listed, the most ever listed, how many, by role
+  std::array<double, 3> weight_{}, mostWeight_{}, count_{};  // by role: listed, the most ever, how many
   std::map<RequestId, Request> requests_;
   std::optional<Time> askAgainAt_, stopsAt_;
   Duration grace_{};
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -94,6 +94,7 @@
   }
   void abandon(AttemptKey key) override { abandoned += drop(key); }
   void resume(AttemptKey) override {}
+  bool unread(AttemptKey) const override { return false; }
   void holdPlace(const RequestId&, AttemptKey, const EngineId&) override { ++places; }
   void release(const RequestId& request) override { released.push_back(request); }
   void probe(const EngineId&) override {}
@@ -273,6 +274,7 @@
     conductor.ended(dispatch.attempt, {outcome});
   }
   void resume(AttemptKey) override {}
+  bool unread(AttemptKey) const override { return false; }
   void holdPlace(const RequestId&, AttemptKey, const EngineId&) override {}
   void release(const RequestId&) override {}
   void probe(const EngineId&) override {}
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,298 @@
+// Two events that cross, each pair forced on real sockets: what docs/design/crossings.md lists.
+#include "fleet/release_course.h"
+#include "support/site.h"
+
+namespace dahliastall {
+namespace {
+
+using State = net::ClientConnection::State;
+
+// ---- What is held for a request --------------------------------------------------------------------
+
+TEST(ReleaseCourse, AsksTwiceAsManyEachTimeAndASecondTimeOnceAnswered) {
+  fleet::ReleaseCourse course(1'000);
+  std::size_t out = 0;
+  std::vector<std::size_t> asked;
+  for (double now = 1'000; now < 1'200; now += fleet::ReleaseCourse::kWaveMs)
+    asked.push_back(course.due(now, out)), out += asked.back();
+  EXPECT_EQ(asked, (std::vector<std::size_t>{1, 2, 4, 8, 1}));  // sixteen without an answer at the most
+  course.taken(1'200);
+  EXPECT_TRUE(course.settling());
+  EXPECT_EQ(course.due(1'300, 0), 0U);
+  course.settled(course.nextMs());
+  EXPECT_EQ(course.due(1'350, 0), 1U);
+  course.taken(1'351);
+  EXPECT_TRUE(course.done());
+  fleet::ReleaseCourse unheard(0);
+  EXPECT_FALSE(unheard.over(fleet::ReleaseCourse::kGiveUpMs - 1));
+  EXPECT_TRUE(unheard.over(fleet::ReleaseCourse::kGiveUpMs));
+}
+
+struct Held : Site {
+  explicit Held(const std::vector<Kind>& kinds = kSplit) : Site(kinds, false) {}
+  // A request whose read is out; its place is asked for, and answered where instances answer that.
+  std::shared_ptr<Reply> reading(const std::string& id = "a") {
+    for (auto& [name, box] : boxes) box->script = leaveSilent;
+    const auto reply = post("/v1/chat/completions", platformFields(id), "{}");
+    EXPECT_TRUE(until([&] { return chats() == 1 && places(id) == 1; }));
+    return reply;
+  }
+  int places(const std::string& id) const { return all("POST", "/bootstrap/rooms/" + id); }
+  int releases(const std::string& id = "a") const { return all("DELETE", "/bootstrap/rooms/" + id); }
+  int all(const std::string& method, const std::string& target) const {
+    int found = 0;
+    for (const auto& [name, box] : boxes) found += box->count(method, target);
+    return found;
+  }
+  StandInBox::Taken& placeCall() {
+    for (const auto& [name, box] : boxes)
+      for (const auto& taken : box->taken)
+        if (taken->method == "POST" && taken->target.rfind("/bootstrap/", 0) == 0) return *taken;
+    throw std::logic_error("no place was asked for");
+  }
+  void settle() {  // lets what is under way on the sockets arrive
+    for (int i = 0; i < 20; ++i) {
+      io.restart();
+      io.poll();
+      io.run_one_for(std::chrono::milliseconds(1));
+    }
+  }
+};
+
+// Guards against a zone that is cut off: the instances heard last are all silent, and asked one after another
+// they used up the time of what was held. With ten silent of eleven the one that hears is reached within 0.3
+// s.
+TEST(Releases, ReachTheOneInstanceThatHearsAmongManySilentOnesInTime) {
+  std::vector<Site::Kind> kinds{{"r1", "read", 0}};
+  for (int i = 0; i < 10; ++i) kinds.push_back({"w" + std::to_string(i), "write", 0});
+  Held held(kinds);
+  held.reading();
+  StandInBox* last = nullptr;
+  for (auto& [name, box] : held.boxes) {
+    box->hears = false;
+    if (box->taken.empty()) last = box.get();  // no connection leads there yet: the last choice
+  }
+  last->hears = true;
+  held.last->abandon();
+  ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
+  for (int waves = 0; waves < 4 && last->count("DELETE", "/") == 0; ++waves) {
+    held.pass(fleet::ReleaseCourse::kWaveMs);
+    held.settle();
+  }
+  EXPECT_GE(last->count("DELETE", "/bootstrap/rooms/a"), 1);
+}
+
+// The read's close and the release travel on different connections: a read that ended between them left a
+// state.
+TEST(Releases, AreAskedASecondTimeForWhatWasUnderWay) {
+  Held held;
+  held.reading();
+  held.last->abandon();
+  ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
+  held.settle();
+  const int first = held.releases();
+  held.pass(fleet::ReleaseCourse::kSettleMs + 1);
+  ASSERT_TRUE(held.until([&] { return held.releases() == first + 1; }));
+  ASSERT_TRUE(held.until([&] { return held.engine->boxes.releasing() == 0; }));
+}
+
+// A call for a place that the release has overtaken: its answer, or its end without one, brings another.
+TEST(Releases, FollowACallForAPlaceThatTheyOvertook) {
+  for (const bool answered : {true, false}) {
+    Held held;
+    for (auto& [name, box] : held.boxes) box->places = false;
+    held.reading();
+    held.last->abandon();
+    ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
+    held.pass(fleet::ReleaseCourse::kSettleMs + 1);
+    held.settle();
+    const int before = held.releases();
+    EXPECT_GT(held.engine->boxes.releasing(), 0U) << "the place may still come to be held";
+    if (answered) held.placeCall().connection->answer(204, {}, "");
+    else held.pass(1'001);
+    ASSERT_TRUE(held.until([&] { return held.releases() > before; })) << answered;
+  }
+}
+
+// The same where nothing was to be released at first: the request is served, and its place call was late.
+TEST(Releases, FollowADoubtfulPlaceOfARequestThatIsServed) {
+  Held held;
+  for (auto& [name, box] : held.boxes) box->places = false;
+  const auto reply = held.reading();
+  for (auto& [name, box] : held.boxes) box->script = streamWhole;
+  for (const auto& [name, box] : held.boxes)
+    for (const auto& taken : box->taken)
+      if (taken->target == "/v1/chat/completions") answerRead(*box, *taken);
+  held.finished(reply);
+  ASSERT_TRUE(reply->whole);
+  EXPECT_EQ(held.releases(), 0);
+  held.placeCall().connection->answer(204, {}, "");
+  ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
+}
+
+// What is held for it is let go of although attempts have every connection that the pool may have.
+TEST(Releases, FindAConnectionWhereAttemptsHaveTakenAllOthers) {
+  Held held;
+  for (auto& [name, box] : held.boxes) box->script = leaveSilent;
+  held.reading("first");
+  held.engine->pool.capAt(16);
+  std::vector<std::shared_ptr<Reply>> others;
+  for (int i = 0; i < 20; ++i)
+    others.push_back(held.post("/v1/chat/completions", platformFields("n" + std::to_string(i)), "{}"));
+  ASSERT_TRUE(held.until([&] { return held.engine->counters["calls.waited"] > 0; }));
+  held.settle();
+  EXPECT_EQ(held.engine->pool.size(), 15U);  // of sixteen one is kept
+  held.engine->boxes.release({"x"});
+  ASSERT_TRUE(held.until([&] { return held.releases("x") == 1; }));
+}
+
+// ---- Calls that wait for a connection --------------------------------------------------------------
+
+TEST(Pool, ACallThatGetsNoConnectionWithinTheTimeOfADialIsWithdrawn) {
+  Stage stage;
+  RawPeer peer(stage.io);
+  net::Pool pool(stage.io, stage.clock, stage.deadlines, stage.counters, {1, 250, 18'000, 1 << 20});
+  const auto busy = std::make_shared<Reply>(), waits = std::make_shared<Reply>();
+  const auto call = [&](const auto& reply) {
+    return pool.call(peer.address(), net::headText("GET / HTTP/1.1", {{"Host", "x"}}), nullptr, reply);
+  };
+  const auto first = call(busy);
+  ASSERT_TRUE(stage.until([&] { return busy->wasWritten; }));
+  call(waits);
+  stage.pass(249);
+  EXPECT_FALSE(waits->over);
+  stage.pass(2);
+  EXPECT_EQ(waits->failure, net::CallFailure::kWithdrawn);
+  first->abandon();
+  stage.pass(300);
+  EXPECT_EQ(pool.size(), 0U);
+}
+
+// ---- Clients that have gone ------------------------------------------------------------------------
+
+// The client's close is in this machine's hands, and its handler has not run when the next send is decided.
+TEST(GoneClients, GetNoFurtherAttemptInTheTurnOfTheLoopInWhichTheyLeave) {
+  for (const bool reset : {false, true}) {
+    Site site(kSplit, false);
+    for (auto& [name, box] : site.boxes) box->script = leaveSilent;
+    RawPeer client(site.io);
+    client.connect(site.listener->address());
+    client.write(messageText("POST /v1/chat/completions HTTP/1.1", platformFields("a"), "{}"));
+    ASSERT_TRUE(site.until([&] { return site.chats() == 1; }));
+    StandInBox::Taken* read = nullptr;
+    for (const auto& [name, box] : site.boxes)
+      for (const auto& taken : box->taken)
+        if (taken->target == "/v1/chat/completions") read = taken.get();
+    ASSERT_NE(read, nullptr);
+    if (reset) client.reset();
+    else client.close();
+    // The loop hears of neither; the read's end comes straight from the core.
+    const auto attempt = core::AttemptKey{0, 1};
+    site.engine->conductor.ended(attempt, {leverrelay::Outcome::kRead});
+    EXPECT_EQ(site.engine->counters["requests.client_gone"], 1U);
+    EXPECT_EQ(site.engine->counters["attempts.not_sent"], 1U);
+    ASSERT_TRUE(site.until([&] { return site.engine->conductor.open() == 0; }));
+    EXPECT_EQ(site.chats(), 1);
+  }
+}
+
+// While a dial is under way: the connection comes up for a client that is no longer there.
+TEST(GoneClients, GetNoAttemptOnAConnectionThatComesUpAfterTheyLeft) {
+  Site site(kSplit, false);
+  RawPeer client(site.io);
+  client.connect(site.listener->address());
+  client.write(messageText("POST /v1/chat/completions HTTP/1.1", platformFields("a"), "{}"));
+  // Runs one handler at a time, until the attempt is decided and its dial has begun.
+  for (int i = 0; i < 10'000 && site.engine->counters["attempts.sent"] == 0; ++i) {
+    site.io.restart();
+    site.io.poll_one();
+  }
+  ASSERT_EQ(site.engine->counters["attempts.sent"], 1U);
+  client.close();
+  ASSERT_TRUE(site.until([&] { return site.engine->counters["requests.client_gone"] == 1; }));
+  ASSERT_TRUE(site.until([&] { return site.engine->conductor.open() == 0; }));
+  EXPECT_EQ(site.chats(), 0);
+}
+
+// Behind more requests than are kept ahead of their turn, a close no longer shows as readiness.
+TEST(GoneClients, AreNoticedBehindMoreThanIsReadAheadOfItsTurn) {
+  Site site(kSplit, false);
+  for (auto& [name, box] : site.boxes) box->script = leaveSilent;
+  RawPeer client(site.io);
+  client.connect(site.listener->address());
+  client.write(messageText("POST /v1/chat/completions HTTP/1.1", platformFields("a"), "{}"));
+  ASSERT_TRUE(site.until([&] { return site.chats() == 1; }));
+  client.write(std::string(64 * 1024, 'p'));
+  for (int i = 0; i < 50; ++i) {
+    site.io.restart();
+    site.io.poll();
+  }
+  client.close();
+  for (int i = 0; i < 2 && site.engine->counters["requests.client_gone"] == 0; ++i) {
+    site.pass(51);
+    site.io.restart();
+    site.io.poll();
+  }
+  EXPECT_EQ(site.engine->counters["requests.client_gone"], 1U);
+}
+
+// ---- Closes against what still arrives -------------------------------------------------------------
+
+struct Door : Stage, net::RequestHandler {
+  net::Listener listener{io, anyPort(), 3, *this, clock, deadlines, counters};
+  std::vector<std::shared_ptr<net::ClientConnection>> asked;
+  void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&&,
+               double) override {
+    asked.push_back(connection);
+  }
+  void gone(net::ClientConnection&) override {}
+  void drained(net::ClientConnection&) override {}
+  void reject(net::ClientConnection& connection, unsigned status, std::string_view why) override {
+    connection.answer(status, {}, why);
+  }
+};
+
+const std::string kAsk = "POST /v1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+
+// A close over unread bytes resets the connection and takes the answer with it: the client, which has not
+// read it yet, would get nothing.
+TEST(Closes, LeaveTheLastAnswerWithAClientThatSendsMoreMeanwhile) {
+  Door door;
+  RawPeer client(door.io);
+  client.closes = false;
+  client.connect(door.listener.address());
+  client.write("POST /v1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc");
+  ASSERT_TRUE(door.until([&] { return door.asked.size() == 1; }));
+  client.write(kAsk);  // stands unread in this machine
+  door.asked[0]->answer(200, {}, "whole");
+  for (int i = 0; i < 50; ++i) {
+    door.io.restart();
+    door.io.poll();
+    client.write("more");
+  }
+  ASSERT_TRUE(door.until([&] { return client.ended(); }));
+  EXPECT_NE(client.seen.find("whole"), std::string::npos);
+  EXPECT_EQ(door.asked.size(), 1U) << "nothing that comes after the end is a request";
+  EXPECT_EQ(door.listener.size(), 1U) << "it is read on until the client closes";
+  door.pass(501);  // and no longer than this
+  EXPECT_EQ(door.listener.size(), 0U);
+}
+
+// The request is in this machine when the idle connection's time is up: it is served, not cut off.
+TEST(Closes, ServeARequestThatArrivedAsTheTimeOfItsRestingConnectionEnded) {
+  Door door;
+  RawPeer client(door.io);
+  client.connect(door.listener.address());
+  client.write(kAsk);
+  ASSERT_TRUE(door.until([&] { return door.asked.size() == 1; }));
+  door.asked[0]->answer(200, {}, "one");
+  ASSERT_TRUE(door.until([&] { return door.asked[0]->state() == State::kIdle; }));
+  client.write(kAsk);  // the loop has not seen it
+  door.pass(5'001);
+  ASSERT_TRUE(door.until([&] { return door.asked.size() == 2; }));
+  door.asked[1]->answer(200, {}, "two");
+  ASSERT_TRUE(door.until([&] { return !client.ended() && client.seen.find("two") != std::string::npos; }));
+}
+
+}  // namespace
+}  // namespace dahliastall
