--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -166,6 +166,12 @@
 
 bool Conductor::mayHold(const EngineId& engine) const { return within(engine); }
 
+bool Conductor::needsNothingHeld(const RequestId& request) const {
+  const auto it = byId_.find(request);
+  const Request* r = it == byId_.end() ? nullptr : requests_.find(it->second);
+  return r == nullptr || r->streaming || !r->answerer;
+}
+
 // A client's close may have come while its handler still waits for its turn: no attempt begins for who has
 // gone.
 bool Conductor::maySend(AttemptKey key) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -51,6 +51,8 @@
   // From the engines' side.
   bool maySend(AttemptKey key);  // asked again just before a send that had to wait is written
   bool mayHold(const leverrelay::EngineId& engine) const;
+  // Whether nothing that is held for a request can be of use to it any more: it streams, or is over.
+  bool needsNothingHeld(const leverrelay::RequestId& request) const;
   bool passed(AttemptKey key, std::string_view part);
   void written(AttemptKey key);  // the attempt's last byte is out
   void ended(AttemptKey key, const Result& result);
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -188,7 +188,8 @@
  private:
   void settle(bool known) {
     boxes_.releases_.placeSettled(request_);
-    if (known || boxes_.attempt(reading_)) return;
+    // As long as it may be of use, its request's own end or first event lets go of it.
+    if (known || !boxes_.conductor_.needsNothingHeld(request_)) return;
     ++boxes_.counters_["places.doubtful"];
     boxes_.releases_.release(request_);
   }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -106,14 +106,15 @@
   if (state_ == State::kIdle || state_ == State::kReading || lingering_) shut();
 }
 
+// The second question costs another call, and is needed only where bytes stand before an end.
 bool ClientConnection::present() const {
   if (state_ == State::kClosed) return false;
   const int descriptor = const_cast<boost::asio::ip::tcp::socket&>(socket_).native_handle();
-  pollfd ask{descriptor, POLLRDHUP, 0};
-  if (::poll(&ask, 1, 0) > 0 && (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return false;
   char byte = 0;
   const auto seen = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
+  if (seen <= 0) return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  pollfd ask{descriptor, POLLRDHUP, 0};
+  return ::poll(&ask, 1, 0) <= 0 || (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
 }
 
 // ---- Reading ---------------------------------------------------------------------------------------
