--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -94,7 +94,8 @@
   }
   void abandon(AttemptKey key) override { abandoned += drop(key); }
   void resume(AttemptKey) override {}
-  bool unread(AttemptKey) const override { return false; }
+  bool more = false;  // of an answer has come than was passed on
+  bool unread(AttemptKey) const override { return more; }
   void holdPlace(const RequestId&, AttemptKey, const EngineId&) override { ++places; }
   void release(const RequestId& request) override { released.push_back(request); }
   void probe(const EngineId&) override {}
@@ -186,6 +187,32 @@
   EXPECT_EQ(client->finals(), 1);
 }
 
+// A stream whose end has come already, and is not passed on yet as it is to move, is passed on to its end.
+// One whose client does not read holds up the move for a tenth of a second and no longer.
+TEST(Conductor, AStreamThatIsToMovePassesOnFirstWhatHasCome) {
+  for (const bool finishes : {true, false}) {
+    Settings settings = plainSettings();
+    settings.resume = true;
+    Play play(settings);
+    play.list();
+    const auto client = play.take("a");
+    play.end(Outcome::kRead);
+    play.engines.more = true;
+    play.conductor.stopping(1000);
+    play.clock.advance(910);
+    play.conductor.passed(play.engines.out.back().attempt, "one");
+    play.pass(6);
+    EXPECT_EQ(client->finals(), 0);
+    if (finishes) {
+      play.conductor.passed(play.engines.out.back().attempt, "two");
+      play.end(Outcome::kServed);
+    }
+    for (int i = 0; i < 20; ++i) play.pass(6);
+    EXPECT_EQ(client->ended, finishes ? 1 : 0);
+    EXPECT_EQ(client->broke, finishes ? 0 : 1);
+  }
+}
+
 TEST(Conductor, AClientThatGoesTakesItsAttemptsAndWhatIsHeldWithIt) {
   Play play;
   play.list();
