Pass a client's own headers on: a keyed class of another customer was not as its client sent it

Cause: the platform front passed on method, path, body, id and content type alone. Change: all headers go along but those of the connection and those worded anew.

--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -274,6 +274,7 @@
                      {dialect_.budgetHeader, std::to_string(static_cast<long>(left))},
                      {"Content-Length", std::to_string(payload.body->size())}};
   if (!payload.contentType.empty()) fields.emplace_back("Content-Type", payload.contentType);
+  fields.insert(fields.end(), payload.passed.begin(), payload.passed.end());
   releases_.attemptGoesOut(dispatch.request);
   const auto sink = std::make_shared<AttemptCall>(*this, dispatch);
   attempts_[dispatch.attempt.slot] = sink;
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -27,6 +27,7 @@
 // What passes on unchanged to whichever box gets the request.
 struct ChatPayload final : core::Payload {
   std::string method, target, contentType;
+  net::Fields passed;  // further headers of the client's that go along as they came
   std::shared_ptr<const std::string> body;
 };
 
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -55,6 +55,25 @@
   }
 }
 
+// What the client says to the instance beyond what the conductor words anew: a class whose repeats are
+// discarded, for one, is known by a header of its client's. Nothing that is meant for one connection alone
+// goes along.
+net::Fields passedOn(const net::HttpRequest& request) {
+  constexpr std::array kOwn{
+      "Host",           "Connection", "Keep-Alive", "Proxy-Connection", "TE",           "Transfer-Encoding",
+      "Content-Length", "Trailer",    "Upgrade",    "Expect",           "Content-Type", "X-Call-Id",
+      "X-Budget-Ms"};
+  net::Fields fields;
+  for (const auto& field : request) {
+    const auto name = field.name_string();
+    if (std::any_of(kOwn.begin(), kOwn.end(),
+                    [&](const char* own) { return boost::beast::iequals(name, own); }))
+      continue;
+    fields.emplace_back(std::string(name), std::string(field.value()));
+  }
+  return fields;
+}
+
 }  // namespace
 
 BoxDialect platformDialect() {
@@ -145,6 +164,7 @@
   payload->method = std::string(request.method_string());
   payload->target = std::string(request.target());
   payload->contentType = textOf(request, "Content-Type");
+  payload->passed = passedOn(request);
   payload->body = std::make_shared<const std::string>(std::move(request.body()));
   if (!submit(*connection, std::move(arrival), arrivedMs, payload,
               std::make_shared<Answer>(*this, connection)))
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -236,6 +236,39 @@
   EXPECT_EQ(site.engine->counters["requests.client_gone"], 1U);
 }
 
+// ---- Other customers ---------------------------------------------------------------------------------
+
+// A class whose repeats are discarded is known to its instances by a header of the client's, whatever its
+// name.
+TEST(OtherCustomers, AClientsOwnHeadersReachTheInstanceAndThoseOfItsConnectionDoNot) {
+  Site site(kMixed, false);
+  auto fields = platformFields("a");
+  fields.emplace_back("Some-Key", "k-77");
+  fields.emplace_back("X-Again", "1");
+  fields.emplace_back("Connection", "keep-alive");
+  fields.emplace_back("Keep-Alive", "timeout=5");
+  site.finished(site.post("/v1/chat/completions", fields, "{}"));
+  const StandInBox::Taken* request = nullptr;
+  for (const auto& [name, box] : site.boxes)
+    for (const auto& taken : box->taken)
+      if (taken->id == "a" && taken->method == "POST" && taken->target == "/v1/chat/completions")
+        request = taken.get();
+  ASSERT_NE(request, nullptr);
+  const auto values = [&](const std::string& name) {
+    std::vector<std::string> found;
+    for (const auto& [key, value] : request->fields)
+      if (boost::beast::iequals(key, name)) found.push_back(value);
+    return found;
+  };
+  EXPECT_EQ(values("Some-Key"), std::vector<std::string>{"k-77"});
+  EXPECT_EQ(values("X-Again"), std::vector<std::string>{"1"});
+  EXPECT_EQ(values("X-Call-Id"), std::vector<std::string>{"a"});
+  EXPECT_EQ(values("X-Budget-Ms").size(), 1U);
+  EXPECT_EQ(values("Content-Length").size(), 1U);
+  EXPECT_EQ(values("Host").size(), 1U);
+  EXPECT_TRUE(values("Keep-Alive").empty());
+}
+
 // ---- Closes against what still arrives -------------------------------------------------------------
 
 struct Door : Stage, net::RequestHandler {
--- a/tests/support/stage.h
+++ b/tests/support/stage.h
@@ -143,6 +143,7 @@
     std::string method, target, body, id;
     std::string budget = {};  // X-Budget-Ms, as it came
     bool gone = false;
+    std::vector<std::pair<std::string, std::string>> fields = {};
   };
   using Script = std::function<void(StandInBox&, Taken&)>;
 
@@ -158,6 +159,8 @@
                                                   std::string(request.target()), request.body(), id,
                                                   std::string(request["X-Budget-Ms"])}));
     Taken& now = *taken.back();
+    for (const auto& field : request)
+      now.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     if (now.method == "DELETE") return hears ? now.connection->answer(releases ? 204 : 500, {}, "") : void();
     if (now.method == "POST" && now.target.rfind("/bootstrap/", 0) == 0)
       return places ? now.connection->answer(200, {}, "") : void();
