--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -149,6 +149,7 @@
   };
   engine.conductor.onEvent(log);
   engine.conductor.onAction(log);
+  engine.pool.onWire([](const std::string& line) { spdlog::info("wire: {}", line); });
 }
 
 std::unique_ptr<OtlpExporter> exporterFor(Engine& engine, const Telemetry& telemetry) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -25,6 +25,7 @@
 // A connection rests so long before its next request: bytes that do not belong to the answer just read come
 // right behind it, and would be taken for the answer to that request.
 constexpr double kRestMs = 4;
+constexpr std::size_t kTold = 160;  // of a message's head, with the request's id in it
 
 // Whether an idle connection can carry a request: nothing came on it, and its end neither.
 bool quiet(boost::asio::ip::tcp::socket& socket) {
@@ -49,6 +50,7 @@
 void Call::begin(std::shared_ptr<Link> link, bool fresh) {
   pool_.deadlines_.cancel(dial_);  // of the time in line
   link_ = std::move(link);
+  ++link_->calls;
   expectAnswer();
   if (fresh) connect();
   else write();
@@ -104,6 +106,7 @@
     if (self->state_ != State::kWriting) return;
     if (error) return self->fail(CallFailure::kNoConnection);
     self->state_ = State::kHead;
+    self->tell("written");
     const auto keep = self->sink_;
     keep->written();
     if (self->state_ == State::kHead) self->read();
@@ -186,6 +189,7 @@
 void Call::complete() {
   // Guards the next request on this connection against a second answer right behind this one.
   const bool again = parser_->keep_alive() && link_->buffer.size() == 0 && quiet(link_->socket);
+  tell(again ? "answered" : "answered, not used again", parser_->get().result_int());
   const auto link = std::exchange(link_, nullptr);
   const auto sink = finish();
   if (again) pool_.give(link);
@@ -249,6 +253,8 @@
 
 void Call::fail(CallFailure why) {
   if (state_ == State::kOver) return;
+  constexpr std::array kWhy{"no connection", "reset", "garbled", "withdrawn"};
+  tell(kWhy.at(static_cast<std::size_t>(why)));
   const auto link = std::exchange(link_, nullptr);
   const auto sink = finish();
   if (link) pool_.close(link);
@@ -257,6 +263,7 @@
 
 void Call::abandon() {
   if (state_ == State::kOver) return;
+  tell("abandoned");
   const auto link = std::exchange(link_, nullptr);
   finish();
   if (link) pool_.close(link);
@@ -268,6 +275,16 @@
   return ::recv(link_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void Call::tell(const char* what, int status) const {
+  if (!pool_.wire_) return;
+  std::string line = "link=" + (link_ ? std::to_string(link_->number) : "none") +
+                     " call=" + (link_ ? std::to_string(link_->calls) : "0") + " " + what +
+                     (status != 0 ? " " + std::to_string(status) : "") + ": " + head_.substr(0, kTold);
+  std::replace_if(
+      line.begin(), line.end(), [](char c) { return c == '\r' || c == '\n'; }, ' ');
+  pool_.wire_(line);
+}
+
 std::shared_ptr<CallSink> Call::finish() {
   state_ = State::kOver;
   pool_.deadlines_.cancel(dial_);
@@ -313,6 +330,7 @@
   if (!room(urgency)) return false;
   auto link = std::make_shared<Link>(io_);
   link->to = call->to_;
+  link->number = ++links_;
   ++open_;
   if (ledger_ != nullptr) ledger_->take(account_);
   call->begin(std::move(link), true);
@@ -329,6 +347,7 @@
     return nullptr;
   }
   link->to = from;
+  link->number = ++links_;
   ++open_;
   if (ledger_ != nullptr) ledger_->force(account_);
   const auto call = std::make_shared<Call>(*this, from, std::string(), nullptr, std::move(sink));
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -56,6 +56,8 @@
   Endpoint to;
   std::optional<core::Deadlines::Key> retire;
   double idleSinceMs = 0;
+  std::uint64_t number = 0;  // of the pool's connections, from one
+  int calls = 0;             // that it has carried, the one under way included
 };
 
 class Call final : public std::enable_shared_from_this<Call> {
@@ -99,6 +101,7 @@
   void complete();
   void fail(CallFailure why);
   std::shared_ptr<CallSink> finish();
+  void tell(const char* what, int status = 0) const;
 
   Pool& pool_;
   Endpoint to_;
@@ -147,6 +150,8 @@
   // Another cap from now on; idle connections above it close, busy ones end first.
   void capAt(std::size_t connections);
   bool hasIdle(const Endpoint& to) const;
+  // Sees each call written, answered, failed or abandoned, with its connection, a line each.
+  void onWire(std::function<void(const std::string&)> line) { wire_ = std::move(line); }
   std::size_t size() const { return open_; }
 
  private:
@@ -175,6 +180,8 @@
   std::deque<std::shared_ptr<Call>> waiting_;  // the urgent ones first
   admission::Ledger* ledger_ = nullptr;
   admission::Account account_ = admission::Account::kBoxes;
+  std::function<void(const std::string&)> wire_;
+  std::uint64_t links_ = 0;
   std::size_t open_ = 0;
   bool serving_ = false;
 };
