Release beside an attempt that shows no sign, and on time whatever becomes of a place call

Cause: an instance may read a connection no more, so what is written there is no attempt, while the place on another connection is held and its time goes on. Boxes::PlaceCall left a doubtful place alone as long as its request was on its way; Releases dropped what was left of a release as soon as an attempt went out, and held the second time back until each place call was answered or given up (0.8 s spoilt, 1 s silent; releaseMs and 0.35 s are allowed).

The instances skip what an attempt waits for, so that one which did arrive loses nothing but a doubtful place. Releases go in rounds half of releaseMs apart, two at least, and for as long as a place call is open; beside an attempt they wait until its bytes have been out for releaseMs, and end once it ended well. A round goes to another instance than the last, if one has an idle connection, and counts with a release's own 204 alone.

Ruled out: a place call on a dial that comes up late is withdrawn in ready() once its read has ended.

Tests: Releases.GoOutBesideAReadWhosePlaceIsInDoubt, .GoOutBesideAWriteThatShowsNoSign..., .GoOnBesideAnAttempt..., .AreAskedAgainWithinTheTime... and .AreTakenByTwoInstances... fail with the changed lines put back. The test of ReleaseCourse is changed for the new signature only, and checks the time of the second round besides.

--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -67,7 +67,8 @@
       pool(io, clock, deadlines, counters,
            {boxConnections, core::toMs(setup.settings.limits.dialTimeout), idleCloseMs * kIdleShare,
             kAnswerBytes}),
-      boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters),
+      boxes(std::move(dialect), conductor, pool, directory, clock, deadlines, counters,
+            core::toMs(setup.settings.contract.releaseWithin)),
       signals_(io, SIGTERM, SIGINT, SIGUSR1) {
   for (std::size_t i = 0; i < kOwnDescriptors; ++i) ledger.force(admission::Account::kOwn);
   pool.accountTo(ledger, admission::Account::kBoxes);
@@ -78,7 +79,7 @@
 void Engine::reconfigure(const leverrelay::Settings& settings, fronts::BoxDialect dialect) {
   conductor.reconfigure(settings);
   pool.dialWithin(core::toMs(settings.limits.dialTimeout));
-  boxes.reconfigure(std::move(dialect));
+  boxes.reconfigure(std::move(dialect), core::toMs(settings.contract.releaseWithin));
 }
 
 void Engine::run(net::Listener& listener, const Ending& ending, std::function<void()> reload) {
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -457,7 +457,9 @@
   const double until = std::min(toMs(send.until) > 0 ? toMs(send.until) : r->deadlineMs, r->deadlineMs);
   if (!maySend(key) || r->streaming) return close(key, {Outcome::kNotSent});
   attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
-  engines_->start({key, r->id, send.engine, r->payload, until});
+  const auto listing = fleet_.find(send.engine);
+  const bool reads = listing != fleet_.end() && listing->second.reads;
+  engines_->start({key, r->id, send.engine, r->payload, until, reads});
 }
 
 void Conductor::carryOut(const HoldPlace& hold) {
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -53,6 +53,7 @@
   leverrelay::EngineId engine;
   std::shared_ptr<const Payload> payload;
   double untilMs;
+  bool reads;  // at a reader: what it leaves is a state, and it takes none
 };
 
 // The way to the engines. Whatever it reports comes through Conductor, also at once from within a call.
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -30,13 +30,20 @@
 class Boxes::AttemptCall final : public net::CallSink {
  public:
   AttemptCall(Boxes& boxes, const core::Dispatch& dispatch)
-      : boxes_(boxes), key_(dispatch.attempt), request_(dispatch.request), engine_(dispatch.engine) {}
+      : boxes_(boxes),
+        key_(dispatch.attempt),
+        request_(dispatch.request),
+        engine_(dispatch.engine),
+        reads_(dispatch.reads) {}
 
   ~AttemptCall() override {
     boxes_.deadlines_.cancel(last_);
     boxes_.deadlines_.cancel(stall_);
+    boxes_.deadlines_.cancel(taken_);
   }
 
+  const RequestId& request() const { return request_; }
+  double writtenMs() const { return writtenMs_; }
   core::AttemptKey key() const { return key_; }
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
   net::Call& call() { return *call_; }
@@ -45,6 +52,7 @@
   void takeUp(const std::string& event) {
     status_ = 200;
     written_ = begun_ = true;
+    writtenMs_ = boxes_.clock_.nowMs();
     gate_.see(event);
   }
   bool finished() const { return gate_.finished(); }
@@ -60,6 +68,8 @@
 
   void written() override {
     written_ = true;
+    writtenMs_ = boxes_.clock_.nowMs();
+    if (!reads_) watchForTaking();
     boxes_.conductor_.written(key_);
     if (place_) boxes_.askPlace(request_, key_, *std::exchange(place_, std::nullopt));
   }
@@ -84,12 +94,23 @@
         call_->garbled();
       });
     begun_ = begun_ || !events->empty();
+    parts_ += events->empty() ? 0 : 1;
     watchForStall();
     if (events->empty() || boxes_.conductor_.passed(key_, *events)) return true;
     boxes_.deadlines_.cancel(stall_);  // a slow client holds the stream back, not its box
     return false;
   }
 
+  // Guards the state that a writer is to take: what was sent to a box that no longer reads this connection,
+  // or was answered with a piece that is none of a stream under way, has taken nothing, and the time of what
+  // is held goes on. Where it did arrive, the release takes nothing from it.
+  void watchForTaking() {
+    taken_ = boxes_.deadlines_.add(writtenMs_ + boxes_.releaseWithinMs_, [this] {
+      taken_.reset();
+      if (parts_ < 2) boxes_.releases_.releaseBeside(request_);
+    });
+  }
+
   // Guards a client against a box that goes silent in the middle of its answer.
   void watchForStall() {
     boxes_.deadlines_.cancel(stall_);
@@ -140,6 +161,7 @@
     const core::AttemptKey key = key_;
     boxes.deadlines_.cancel(last_);
     boxes.deadlines_.cancel(stall_);
+    boxes.deadlines_.cancel(taken_);
     boxes.attempts_.erase(key.slot);
     boxes.conductor_.ended(key, result);
   }
@@ -152,8 +174,11 @@
   std::optional<EngineId> place_;
   UsageReader usage_;
   EventGate gate_;
-  std::optional<core::Deadlines::Key> last_, stall_;
+  std::optional<core::Deadlines::Key> last_, stall_, taken_;
+  double writtenMs_ = HUGE_VAL;
+  int parts_ = 0;  // in which whole events came
   unsigned status_ = 0;
+  bool reads_;
   bool begun_ = false, written_ = false, rejected_ = false;
 };
 
@@ -161,7 +186,7 @@
 
 // Whatever becomes of it, it settles once. One that was written and got no clear no may be held all the same,
 // also when its read has ended, and nobody else would let go of it then.
-class Boxes::PlaceCall final : public net::CallSink {
+class Boxes::PlaceCall final : public net::CallSink, public std::enable_shared_from_this<PlaceCall> {
  public:
   PlaceCall(Boxes& boxes, RequestId request, core::AttemptKey reading, EngineId engine)
       : boxes_(boxes), request_(std::move(request)), reading_(reading), engine_(std::move(engine)) {
@@ -170,7 +195,15 @@
 
   // After its read has ended a place would only be pinned.
   bool ready() override { return boxes_.attempt(reading_) && boxes_.conductor_.mayHold(engine_); }
-  void written() override { written_ = true; }
+  void written() override {
+    written_ = true;
+    open_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + boxes_.releaseWithinMs_, [self = weak_from_this()] {
+      const auto place = self.lock();
+      if (!place) return;
+      place->open_.reset();
+      place->doubt();
+    });
+  }
   void head(const net::ResponseHead& head) override {
     status_ = head.result_int();
     boxes_.heard(engine_);
@@ -180,24 +213,34 @@
     // 204: not known; it may be held, and a note that it is not would be a guess.
     if (status_ == 200) boxes_.conductor_.placeAnswered(reading_, engine_, true);
     if (status_ == 409 || status_ == 404) boxes_.conductor_.placeAnswered(reading_, engine_, false);
-    settle(status_ == 200 || status_ == 409 || status_ == 404);
+    settle(status_ == 409 || status_ == 404);
   }
   void failed(net::CallFailure) override { settle(!written_); }
   void givenUp() { settle(!written_); }
 
  private:
-  void settle(bool known) {
+  void settle(bool nothingHeld) {
+    boxes_.deadlines_.cancel(open_);
     boxes_.releases_.placeSettled(request_);
-    // As long as it may be of use, its request's own end or first event lets go of it.
-    if (known || !boxes_.conductor_.needsNothingHeld(request_)) return;
+    if (!nothingHeld) doubt();
+  }
+
+  // It may be held, and its read may never have reached its reader: nothing tells of either, and while no
+  // attempt is out at an instance the place's time goes on. One that is known to be held has its read out:
+  // its request's own end or first event lets go of it.
+  void doubt() {
+    const bool useless = boxes_.conductor_.needsNothingHeld(request_);
+    if (status_ == 200 && !useless) return;
     ++boxes_.counters_["places.doubtful"];
-    boxes_.releases_.release(request_);
+    if (useless) boxes_.releases_.release(request_);
+    else boxes_.releases_.releaseBeside(request_);
   }
 
   Boxes& boxes_;
   RequestId request_;
   core::AttemptKey reading_;
   EngineId engine_;
+  std::optional<core::Deadlines::Key> open_;
   unsigned status_ = 0;
   bool written_ = false;
 };
@@ -224,7 +267,8 @@
 // ---- Boxes -----------------------------------------------------------------------------------------
 
 Boxes::Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
-             const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters)
+             const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
+             double releaseWithinMs)
     : dialect_(std::move(dialect)),
       conductor_(conductor),
       pool_(pool),
@@ -232,10 +276,13 @@
       clock_(clock),
       deadlines_(deadlines),
       counters_(counters),
-      releases_(pool, directory, clock, deadlines, counters,
-                [this](const RequestId& request, const Box& box) {
-                  return head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
-                }) {
+      releaseWithinMs_(releaseWithinMs),
+      releases_(
+          pool, directory, clock, deadlines, counters, releaseWithinMs,
+          [this](const RequestId& request, const Box& box) {
+            return head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
+          },
+          [this](const RequestId& request) { return writtenMs(request); }) {
   conductor_.connect(*this);
 }
 
@@ -249,6 +296,14 @@
   return it == attempts_.end() || it->second->key() != key ? nullptr : it->second;
 }
 
+// The last one's, should there be several.
+std::optional<double> Boxes::writtenMs(const RequestId& request) const {
+  std::optional<double> last;
+  for (const auto& [slot, sink] : attempts_)
+    if (sink->request() == request) last = std::max(last.value_or(sink->writtenMs()), sink->writtenMs());
+  return last;
+}
+
 std::string Boxes::head(const std::string& method, const std::string& target, const Box& box,
                         net::Fields fields) const {
   fields.insert(fields.begin(),
@@ -310,7 +365,8 @@
 
 bool Boxes::adopt(core::AttemptKey key, const RequestId& request, const EngineId& engine,
                   const net::Endpoint& address, const Rest& rest) {
-  const auto sink = std::make_shared<AttemptCall>(*this, core::Dispatch{key, request, engine, nullptr, 0});
+  const auto sink =
+      std::make_shared<AttemptCall>(*this, core::Dispatch{key, request, engine, nullptr, 0, false});
   const auto call = pool_.adopt(address, rest.call, sink);
   if (!call) return false;
   sink->hold(call);
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -34,7 +34,8 @@
 class Boxes final : public core::Engines {
  public:
   Boxes(BoxDialect dialect, core::Conductor& conductor, net::Pool& pool, Directory& directory,
-        const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters);
+        const core::Clock& clock, core::Deadlines& deadlines, core::Counters& counters,
+        double releaseWithinMs);
   ~Boxes() override;
 
   void start(const core::Dispatch& dispatch) override;
@@ -59,7 +60,11 @@
   bool adopt(core::AttemptKey attempt, const leverrelay::RequestId& request,
              const leverrelay::EngineId& engine, const net::Endpoint& address, const Rest& rest);
 
-  void reconfigure(BoxDialect dialect) { dialect_ = std::move(dialect); }
+  void reconfigure(BoxDialect dialect, double releaseWithinMs) {
+    dialect_ = std::move(dialect);
+    releaseWithinMs_ = releaseWithinMs;
+    releases_.within(releaseWithinMs);
+  }
 
   std::size_t releasing() const { return releases_.underWay(); }
 
@@ -69,6 +74,7 @@
   class ProbeCall;
 
   std::shared_ptr<AttemptCall> attempt(core::AttemptKey key) const;
+  std::optional<double> writtenMs(const leverrelay::RequestId& request) const;
   void askPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
                 const leverrelay::EngineId& engine);
   std::string head(const std::string& method, const std::string& target, const Box& box,
@@ -83,6 +89,7 @@
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
   core::Counters& counters_;
+  double releaseWithinMs_;
   std::map<std::uint32_t, std::shared_ptr<AttemptCall>> attempts_;  // by the number of the core's slot
   Releases releases_;
 };
--- a/src/fronts/boxes/releases.cpp
+++ b/src/fronts/boxes/releases.cpp
@@ -1,6 +1,7 @@
 #include "fronts/boxes/releases.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -26,12 +27,12 @@
 
   void head(const net::ResponseHead& head) override {
     if (Box* box = owner_.directory_.find(engine_)) box->heardMs = owner_.clock_.nowMs();
-    through_ = head.result_int() / 100 == 2;
+    through_ = head.result_int() == 204;  // any other is none to a release
   }
-  void done() override { owner_.answered(request_, number_, through_); }
+  void done() override { owner_.answered(request_, number_, engine_, through_); }
   void failed(net::CallFailure why) override {
     if (why != net::CallFailure::kWithdrawn) unheard();
-    owner_.answered(request_, number_, false);
+    owner_.answered(request_, number_, engine_, false);
   }
   void unheard() {
     if (Box* box = owner_.directory_.find(engine_)) box->failedMs = owner_.clock_.nowMs();
@@ -46,13 +47,16 @@
 };
 
 Releases::Releases(net::Pool& pool, Directory& directory, const core::Clock& clock,
-                   core::Deadlines& deadlines, core::Counters& counters, Head head)
+                   core::Deadlines& deadlines, core::Counters& counters, double withinMs, Head head,
+                   WrittenMs writtenMs)
     : pool_(pool),
       directory_(directory),
       clock_(clock),
       deadlines_(deadlines),
       counters_(counters),
-      head_(std::move(head)) {}
+      withinMs_(withinMs),
+      head_(std::move(head)),
+      writtenMs_(std::move(writtenMs)) {}
 
 // A call and its sink hold each other while it runs.
 Releases::~Releases() {
@@ -63,22 +67,29 @@
 }
 
 void Releases::release(const RequestId& request) {
-  auto [it, fresh] = releases_.try_emplace(request, clock_.nowMs());
+  auto [it, fresh] = releases_.try_emplace(request, clock_.nowMs(), withinMs_);
   if (!fresh) {
-    it->second.forgotten = false;
-    // Between its two times nothing is under way, so that the second one can begin at once.
+    it->second.attempted = false;
+    // Between two rounds nothing is under way, so that the next one can begin at once.
     if (it->second.course.settling()) it->second.course.anew(clock_.nowMs());
     else it->second.again = true;
   }
   step(request);
 }
 
+void Releases::releaseBeside(const RequestId& request) {
+  const auto [it, fresh] = releases_.try_emplace(request, clock_.nowMs(), withinMs_);
+  if (fresh) it->second.course.wait(clock_.nowMs());
+  else it->second.course.closed(clock_.nowMs());
+  it->second.attempted = it->second.attempted || fresh;
+  step(request);
+}
+
 void Releases::attemptGoesOut(const RequestId& request) {
   const auto it = releases_.find(request);
   if (it == releases_.end()) return;
-  it->second.forgotten = true;
+  it->second.attempted = true;
   it->second.again = false;
-  if (it->second.course.settling()) finish(request);
 }
 
 void Releases::afterwards(const RequestId& request, std::function<void()> what) {
@@ -94,19 +105,20 @@
   placesOut_.erase(it);
   const auto releasing = releases_.find(request);
   if (releasing == releases_.end()) return;
-  if (releasing->second.course.settling()) step(request);
-  else releasing->second.again = !releasing->second.forgotten;
+  releasing->second.course.closed(clock_.nowMs());
+  step(request);
 }
 
-// First one with a connection at hand, of those the one heard last; one that lately failed comes after those
-// that did not.
-const EngineId* Releases::best(const std::set<EngineId>& tried) const {
+// First one with a connection at hand, of those one that did not take the last round, as what was taken for
+// its answer may have been a late one to an earlier call; then the one heard last. One that lately failed
+// comes after those that did not.
+const EngineId* Releases::best(const Releasing& state) const {
   const EngineId* best = nullptr;
-  std::tuple<bool, bool, double> most;
+  std::tuple<bool, bool, bool, double> most;
   for (const auto& [engine, box] : directory_.all()) {
-    if (tried.count(engine) != 0 || box.presence == leverrelay::Presence::kGone) continue;
-    const std::tuple<bool, bool, double> worth{box.heardMs >= box.failedMs, pool_.hasIdle(box.address),
-                                               box.heardMs};
+    if (state.tried.count(engine) != 0 || box.presence == leverrelay::Presence::kGone) continue;
+    const std::tuple<bool, bool, bool, double> worth{box.heardMs >= box.failedMs, pool_.hasIdle(box.address),
+                                                     engine != state.heard, box.heardMs};
     if (best != nullptr && worth <= most) continue;
     best = &engine;
     most = worth;
@@ -114,15 +126,28 @@
   return best;
 }
 
-// The one place in which a release moves on: asks more, begins its second time, or ends.
+// When the next round may begin; never if it would take what the request goes on with.
+std::optional<double> Releases::roundMs(const RequestId& request, const Releasing& state) const {
+  const double due = state.course.nextMs();
+  const auto written = writtenMs_(request);
+  if (!written) return state.attempted ? std::nullopt : std::optional(due);
+  return std::max(due, *written + withinMs_);
+}
+
+// The one place in which a release moves on: asks more, begins its next round, or ends.
 void Releases::step(const RequestId& request) {
   const auto it = releases_.find(request);
   if (it == releases_.end()) return;
   Releasing& state = it->second;
   const double now = clock_.nowMs();
   deadlines_.cancel(state.next);
-  if (state.course.settling() && now >= state.course.nextMs() && placesOut_.count(request) == 0)
-    state.course.settled(now);
+  double nextMs = now;
+  if (state.course.settling()) {
+    const auto at = roundMs(request, state);
+    if (!at) return finish(request);
+    if (now >= *at) state.course.go(now);
+    else if (std::isfinite(*at)) nextMs = *at;
+  }
   if (state.course.over(now)) {
     if (!state.course.done()) ++counters_["releases.given_up"];
     return finish(request);
@@ -131,15 +156,14 @@
   if (out_ >= kMostOut) due = std::min<std::size_t>(due, state.calls.empty() ? 1 : 0);
   bool nobody = false;
   for (; due > 0 && !nobody; --due) {
-    const EngineId* const next = best(state.tried);
+    const EngineId* const next = best(state);
     nobody = next == nullptr;
     if (!nobody) ask(request, state, EngineId(*next));
   }
   if (directory_.all().empty()) return finish(request);    // no instances, so nothing is held anywhere
   if (nobody && state.calls.empty()) state.tried.clear();  // once round; one may be back after a breath
-  const double wait =
-      state.course.settling() && now >= state.course.nextMs() ? kPauseMs : state.course.nextMs() - now;
-  state.next = deadlines_.add(now + std::max(wait, kPauseMs), [this, request] {
+  nextMs = std::max({nextMs, state.course.nextMs(), now + kPauseMs});
+  state.next = deadlines_.add(nextMs, [this, request] {
     const auto due = releases_.find(request);
     if (due == releases_.end()) return;
     due->second.next.reset();
@@ -156,33 +180,32 @@
   const auto sink = std::make_shared<Carrier>(*this, request, engine, number);
   const auto call = pool_.call(box.address, head_(request, box), nullptr, sink, net::Pool::Urgency::kFirst);
   state.calls[number] = call;
-  deadlines_.add(clock_.nowMs() + kCallMs, [this, request, number, call, sink] {
+  deadlines_.add(clock_.nowMs() + kCallMs, [this, request, number, engine, call, sink] {
     if (call->state() == net::Call::State::kOver) return;
     call->abandon();
     sink->unheard();
-    answered(request, number, false);
+    answered(request, number, engine, false);
   });
 }
 
-void Releases::answered(const RequestId& request, std::uint64_t number, bool through) {
+void Releases::answered(const RequestId& request, std::uint64_t number, const EngineId& by, bool through) {
   --out_;
   const auto it = releases_.find(request);
   if (it == releases_.end()) return;
   Releasing& state = it->second;
   state.calls.erase(number);
-  if (!through) {
+  if (!through || number < state.first) {
     // The last one asked has failed: no use waiting for the next wave.
     if (state.calls.empty() && !state.course.settling()) state.course.failed(clock_.nowMs());
     return step(request);
   }
   leaveUnwritten(state);
   state.tried.clear();
+  state.heard = by;
+  state.first = calls_ + 1;
   if (std::exchange(state.again, false)) state.course.anew(clock_.nowMs());
-  else state.course.taken(clock_.nowMs());
+  else state.course.taken(clock_.nowMs(), placesOut_.count(request) != 0);
   for (const auto& go : std::exchange(state.after, {})) go();
-  const auto still = releases_.find(request);
-  if (still == releases_.end()) return;
-  if (still->second.forgotten && still->second.course.settling()) return finish(request);
   step(request);
 }
 
--- a/src/fronts/boxes/releases.h
+++ b/src/fronts/boxes/releases.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,13 +24,22 @@
 class Releases {
  public:
   using Head = std::function<std::string(const leverrelay::RequestId&, const Box&)>;  // of the call's message
+  // Of the attempt of a request that is out, if one is: when its last byte was out, HUGE_VAL before that.
+  using WrittenMs = std::function<std::optional<double>(const leverrelay::RequestId&)>;
 
   Releases(net::Pool& pool, Directory& directory, const core::Clock& clock, core::Deadlines& deadlines,
-           core::Counters& counters, Head head);
+           core::Counters& counters, double withinMs, Head head, WrittenMs writtenMs);
   ~Releases();
 
   void release(const leverrelay::RequestId& request);
-  // An attempt of it goes out: what was left is its own affair from now on, and nothing more is asked again.
+  void within(double ms) { withinMs_ = ms; }  // in which what is held has to be let go of
+  // The same while an attempt is out, of which nothing shows yet that it has reached its instance: if it has,
+  // the instances skip what it waits for.
+  void releaseBeside(const leverrelay::RequestId& request);
+  // An attempt of it goes out. What was left may have been missed, and nothing tells whether the attempt will
+  // reach its instance and take it: further rounds wait until its bytes have been out for the time that a
+  // read usually takes, so that they take nothing from it. Once it has ended without a new release, they are
+  // off.
   void attemptGoesOut(const leverrelay::RequestId& request);
   // Done at once if no release is under way, else after it, as it would let go of what comes of this.
   void afterwards(const leverrelay::RequestId& request, std::function<void()> what);
@@ -43,29 +53,35 @@
  private:
   class Carrier;
   struct Releasing {
-    explicit Releasing(double nowMs) : course(nowMs) {}
+    Releasing(double nowMs, double withinMs) : course(nowMs, withinMs) {}
     fleet::ReleaseCourse course;
     std::map<std::uint64_t, std::shared_ptr<net::Call>> calls;  // without an answer yet
     std::set<leverrelay::EngineId> tried;                       // since all were asked once
+    std::uint64_t first = 0;  // of the calls of this round: an answer to an earlier one proves nothing for it
+    leverrelay::EngineId heard;  // who took the last round: a later one goes to another, if it can
     std::optional<core::Deadlines::Key> next;
     bool again = false;      // asked for once more meanwhile: what the first could not see may be held now
-    bool forgotten = false;  // an attempt has gone out since: no second time
+    bool attempted = false;  // an attempt has gone out since: see attemptGoesOut()
     std::vector<std::function<void()>> after;
   };
 
   void step(const leverrelay::RequestId& request);
+  std::optional<double> roundMs(const leverrelay::RequestId& request, const Releasing& state) const;
   void ask(const leverrelay::RequestId& request, Releasing& state, const leverrelay::EngineId& engine);
-  void answered(const leverrelay::RequestId& request, std::uint64_t call, bool through);
+  void answered(const leverrelay::RequestId& request, std::uint64_t call, const leverrelay::EngineId& by,
+                bool through);
   void leaveUnwritten(Releasing& state);
   void finish(const leverrelay::RequestId& request);
-  const leverrelay::EngineId* best(const std::set<leverrelay::EngineId>& tried) const;
+  const leverrelay::EngineId* best(const Releasing& state) const;
 
   net::Pool& pool_;
   Directory& directory_;
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
   core::Counters& counters_;
+  double withinMs_;
   Head head_;
+  WrittenMs writtenMs_;
   std::map<leverrelay::RequestId, Releasing> releases_;
   std::map<leverrelay::RequestId, int> placesOut_;
   std::uint64_t calls_ = 0;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -10,24 +10,48 @@
 // ---- What is held for a request --------------------------------------------------------------------
 
 TEST(ReleaseCourse, AsksTwiceAsManyEachTimeAndASecondTimeOnceAnswered) {
-  fleet::ReleaseCourse course(1'000);
+  fleet::ReleaseCourse course(1'000, 300);
   std::size_t out = 0;
   std::vector<std::size_t> asked;
   for (double now = 1'000; now < 1'200; now += fleet::ReleaseCourse::kWaveMs)
     asked.push_back(course.due(now, out)), out += asked.back();
   EXPECT_EQ(asked, (std::vector<std::size_t>{1, 2, 4, 8, 1}));  // sixteen without an answer at the most
-  course.taken(1'200);
+  course.taken(1'200, false);
   EXPECT_TRUE(course.settling());
+  course.go(1'300);
   EXPECT_EQ(course.due(1'300, 0), 0U);
-  course.settled(course.nextMs());
+  EXPECT_EQ(course.nextMs(), 1'350);
+  course.go(course.nextMs());
   EXPECT_EQ(course.due(1'350, 0), 1U);
-  course.taken(1'351);
+  course.taken(1'351, false);
   EXPECT_TRUE(course.done());
-  fleet::ReleaseCourse unheard(0);
+  fleet::ReleaseCourse unheard(0, 300);
   EXPECT_FALSE(unheard.over(fleet::ReleaseCourse::kGiveUpMs - 1));
   EXPECT_TRUE(unheard.over(fleet::ReleaseCourse::kGiveUpMs));
 }
 
+// While something may yet come to be held there is another round; what is decided during one makes it too
+// early.
+TEST(ReleaseCourse, GoesOnWhileSomethingIsOpen) {
+  fleet::ReleaseCourse course(0, 300);
+  for (int i = 0; i < 5; ++i) {
+    course.go(i * 150);
+    EXPECT_EQ(course.due(i * 150, 0), 1U) << i;
+    course.taken(i * 150, true);
+  }
+  course.go(750);
+  course.closed(751);
+  course.taken(752, false);
+  EXPECT_FALSE(course.done());
+  course.closed(760);  // put off for this alone
+  EXPECT_EQ(course.nextMs(), 760);
+  course.go(760);
+  course.taken(761, false);
+  EXPECT_TRUE(course.done());
+}
+
+constexpr double kSettleMs = 150;  // half of the site's releaseMs
+
 struct Held : Site {
   explicit Held(const std::vector<Kind>& kinds = kSplit) : Site(kinds, false) {}
   // A request whose read is out; its place is asked for, and answered where instances answer that.
@@ -91,11 +115,59 @@
   ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
   held.settle();
   const int first = held.releases();
-  held.pass(fleet::ReleaseCourse::kSettleMs + 1);
+  held.pass(kSettleMs + 1);
   ASSERT_TRUE(held.until([&] { return held.releases() == first + 1; }));
   ASSERT_TRUE(held.until([&] { return held.engine->boxes.releasing() == 0; }));
 }
 
+// The answer to a call for a place is spoilt and never ends, or never comes: the place may be held from the
+// first moment on, and its time passes whatever becomes of the call.
+TEST(Releases, AreAskedAgainWithinTheTimeWhileACallForAPlaceHasNoAnswer) {
+  Held held;
+  for (auto& [name, box] : held.boxes) box->places = false;
+  held.reading();
+  held.last->abandon();
+  ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
+  held.settle();
+  for (int round = 1; round <= 4; ++round) {  // 600 ms: 650 are allowed
+    const int before = held.releases();
+    held.pass(kSettleMs + 1);
+    held.settle();
+    EXPECT_EQ(held.releases(), before + 1) << round;
+  }
+  held.placeCall().connection->answer(409, {}, "");
+  held.settle();
+  held.pass(kSettleMs + 1);
+  ASSERT_TRUE(held.until([&] { return held.engine->boxes.releasing() == 0; }));
+}
+
+// What is taken for an answer to a release may be a late one to an earlier call on its connection: another
+// instance takes the second round, and no other status than a release's own counts.
+TEST(Releases, AreTakenByTwoInstancesAndAnsweredBy204Alone) {
+  Held held;
+  held.reading();
+  std::vector<std::string> takers;
+  const auto another = [&] {  // runs until one more has come, and notes who took it
+    return held.until([&] {
+      for (const auto& [name, box] : held.boxes)
+        if (box->count("DELETE", "/bootstrap/rooms/a") > std::count(takers.begin(), takers.end(), name))
+          return takers.push_back(name), true;
+      return false;
+    });
+  };
+  for (auto& [name, box] : held.boxes) box->hears = false;
+  held.last->abandon();
+  ASSERT_TRUE(another());
+  for (auto& [name, box] : held.boxes) box->hears = true;
+  for (const auto& taken : held.boxes.at(takers[0])->taken)
+    if (taken->method == "DELETE") taken->connection->answer(202, {}, "{\"cached_tokens\":4}");
+  ASSERT_TRUE(another()) << "a read's answer is none";
+  held.settle();
+  held.pass(kSettleMs + 1);
+  ASSERT_TRUE(another());
+  EXPECT_NE(takers[2], takers[1]);
+}
+
 // A call for a place that the release has overtaken: its answer, or its end without one, brings another.
 TEST(Releases, FollowACallForAPlaceThatTheyOvertook) {
   for (const bool answered : {true, false}) {
@@ -104,7 +176,7 @@
     held.reading();
     held.last->abandon();
     ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
-    held.pass(fleet::ReleaseCourse::kSettleMs + 1);
+    held.pass(kSettleMs + 1);
     held.settle();
     const int before = held.releases();
     EXPECT_GT(held.engine->boxes.releasing(), 0U) << "the place may still come to be held";
@@ -130,6 +202,90 @@
   ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
 }
 
+// A read that never reached its reader, as that no longer reads the connection: no instance counts an
+// attempt, and the place that was asked for with it is held, though nothing says so. One that is said to be
+// held has its read out.
+TEST(Releases, GoOutBesideAReadWhosePlaceIsInDoubt) {
+  for (const int answer : {0, 204, 200, 409}) {
+    Held held;
+    for (auto& [name, box] : held.boxes) box->places = false;
+    held.reading();
+    if (answer != 0) held.placeCall().connection->answer(answer, {}, "");
+    held.settle();
+    const int asked = held.places("a");  // after a 409 another writer is
+    held.pass(299);
+    held.settle();
+    EXPECT_EQ(held.releases(), 0) << answer;
+    held.pass(2);
+    held.settle();
+    EXPECT_EQ(held.releases(), answer == 200 ? 0 : 1) << answer << ", places asked " << asked;
+  }
+}
+
+// A writer that does not read its connection any more, or sends one piece in place of a stream: the state is
+// still held, and its time passes although an attempt is out.
+TEST(Releases, GoOutBesideAWriteThatShowsNoSignOfHavingTakenTheState) {
+  for (const int parts : {0, 1, 2}) {
+    Held held;
+    for (auto& [name, box] : held.boxes) box->script = name[0] == 'r' ? answerRead : leaveSilent;
+    held.post("/v1/chat/completions", platformFields("a"), "{}");
+    StandInBox::Taken* write = nullptr;
+    ASSERT_TRUE(held.until([&] {
+      for (const auto& [name, box] : held.boxes)
+        for (const auto& taken : box->taken)
+          if (name[0] == 'w' && taken->target == "/v1/chat/completions") write = taken.get();
+      return write != nullptr;
+    }));
+    held.settle();
+    if (parts > 0) beginOnly(*held.boxes.at("w1"), *write);
+    held.settle();
+    if (parts > 1) write->connection->pass(eventOf("more"));
+    held.settle();
+    held.pass(299);
+    held.settle();
+    EXPECT_EQ(held.releases(), 0);
+    held.pass(2);
+    held.settle();
+    EXPECT_EQ(held.releases(), parts < 2 ? 1 : 0) << parts;
+  }
+}
+
+// The first round passed as the close of its attempt was under way, and the next attempt goes to an instance
+// that is silent: what the first left is let go of within the time all the same, once a read would be over.
+TEST(Releases, GoOnBesideAnAttemptThatShowsNoSign) {
+  Held held;
+  int reads = 0;
+  for (const char* reader : {"r1", "r2"})
+    held.boxes.at(reader)->script = [&](StandInBox&, StandInBox::Taken& taken) {
+      if (reads++ == 0) taken.connection->answer(500, {}, "");
+    };
+  held.post("/v1/chat/completions", platformFields("a"), "{}");
+  ASSERT_TRUE(held.until([&] { return reads == 2 && held.releases() >= 1; }));
+  held.settle();
+  const int before = held.releases();
+  held.pass(299);
+  held.settle();
+  EXPECT_EQ(held.releases(), before) << "a read may be under way";
+  held.pass(40);
+  held.settle();
+  EXPECT_EQ(held.releases(), before + 1);
+}
+
+// A read that ends well needs what it left: the rounds of an earlier release are off.
+TEST(Releases, TakeNothingFromAnAttemptThatEndedWell) {
+  Held held;
+  int reads = 0;
+  for (auto& [name, box] : held.boxes) box->script = beginOnly;
+  for (const char* reader : {"r1", "r2"})
+    held.boxes.at(reader)->script = [&](StandInBox& box, StandInBox::Taken& taken) {
+      if (reads++ == 0) taken.connection->answer(500, {}, "");
+      else answerRead(box, taken);
+    };
+  held.post("/v1/chat/completions", platformFields("a"), "{}");
+  ASSERT_TRUE(held.until([&] { return held.streaming() != nullptr; }));
+  EXPECT_EQ(held.releases(), 1);
+}
+
 // What is held for it is let go of although attempts have every connection that the pool may have.
 TEST(Releases, FindAConnectionWhereAttemptsHaveTakenAllOthers) {
   Held held;
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -413,7 +413,7 @@
   core::Conductor conductor{setup.settings, 7, clock, deadlines, counters};
   net::Pool pool{io, clock, deadlines, counters, {10, 250, 18'000}};
   fronts::Directory directory;
-  fronts::Boxes boxes{fronts::platformDialect(), conductor, pool, directory, clock, deadlines, counters};
+  fronts::Boxes boxes{fronts::platformDialect(), conductor, pool, directory, clock, deadlines, counters, 300};
   fronts::Discovery discovery{io,        clock, deadlines,   counters,         conductor,
                               directory, pool,  setup.names, fleet::Pace(2, 7)};
 };
