Keep the program while a place is out, and force two crossings that had no test

At SIGTERM the program waited for releases under way, not for a call for a place whose request was served meanwhile: what came of it stayed held. Releases::underWay() counts both.

--- a/src/fronts/boxes/releases.h
+++ b/src/fronts/boxes/releases.h
@@ -48,7 +48,8 @@
   void placeAsked(const leverrelay::RequestId& request) { ++placesOut_[request]; }
   void placeSettled(const leverrelay::RequestId& request);
 
-  std::size_t underWay() const { return releases_.size(); }
+  // Releases, and calls for places of which one may yet come: the program waits for both before it ends.
+  std::size_t underWay() const { return releases_.size() + placesOut_.size(); }
 
  private:
   class Carrier;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -286,6 +286,35 @@
   EXPECT_EQ(held.releases(), 1);
 }
 
+// The holder has left the list: any other passes the release on.
+TEST(Releases, ReachAnotherInstanceIfTheHolderHasLeftTheList) {
+  Held held;
+  held.reading();
+  for (auto& [name, box] : held.boxes)
+    if (!box->taken.empty()) held.engine->directory.find({name})->presence = leverrelay::Presence::kGone;
+  held.last->abandon();
+  ASSERT_TRUE(held.until([&] { return held.releases() >= 1; }));
+  for (const auto& [name, box] : held.boxes)
+    EXPECT_TRUE(box->count("DELETE", "/") == 0 ||
+                held.engine->directory.find({name})->presence != leverrelay::Presence::kGone);
+}
+
+// SIGTERM: the program ends no sooner than a call for a place is decided, and what came of it let go.
+TEST(Releases, KeepTheProgramWhileAPlaceIsOut) {
+  Held held;
+  for (auto& [name, box] : held.boxes) box->places = false;
+  const auto reply = held.reading();
+  for (auto& [name, box] : held.boxes) box->script = streamWhole;
+  for (const auto& [name, box] : held.boxes)
+    for (const auto& taken : box->taken)
+      if (taken->target == "/v1/chat/completions") answerRead(*box, *taken);
+  held.finished(reply);
+  held.settle();
+  EXPECT_GT(held.engine->boxes.releasing(), 0U);
+  held.placeCall().connection->answer(409, {}, "");
+  ASSERT_TRUE(held.until([&] { return held.engine->boxes.releasing() == 0; }));
+}
+
 // What is held for it is let go of although attempts have every connection that the pool may have.
 TEST(Releases, FindAConnectionWhereAttemptsHaveTakenAllOthers) {
   Held held;
