Leave a read alone whose place is known to be held, as its instance counts it

Rounds of an earlier release would take the place of a read that lasts longer than releaseMs. A place that is answered 200 has its read out, so that no time passes for what is held.

--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -44,6 +44,8 @@
 
   const RequestId& request() const { return request_; }
   double writtenMs() const { return writtenMs_; }
+  void known() { known_ = true; }  // to be out at its instance
+  bool isKnown() const { return known_; }
   core::AttemptKey key() const { return key_; }
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
   net::Call& call() { return *call_; }
@@ -179,7 +181,7 @@
   int parts_ = 0;  // in which whole events came
   unsigned status_ = 0;
   bool reads_;
-  bool begun_ = false, written_ = false, rejected_ = false;
+  bool begun_ = false, written_ = false, rejected_ = false, known_ = false;
 };
 
 // ---- Places, releases and probes -------------------------------------------------------------------
@@ -211,6 +213,7 @@
   void done() override {
     ++boxes_.counters_["places.answered"];
     // 204: not known; it may be held, and a note that it is not would be a guess.
+    if (const auto read = boxes_.attempt(reading_); read && status_ == 200) read->known();
     if (status_ == 200) boxes_.conductor_.placeAnswered(reading_, engine_, true);
     if (status_ == 409 || status_ == 404) boxes_.conductor_.placeAnswered(reading_, engine_, false);
     settle(status_ == 409 || status_ == 404);
@@ -296,11 +299,13 @@
   return it == attempts_.end() || it->second->key() != key ? nullptr : it->second;
 }
 
-// The last one's, should there be several.
+// The last one's, should there be several. One that is known to be out at its instance needs no release
+// beside it: no time passes meanwhile for what is held.
 std::optional<double> Boxes::writtenMs(const RequestId& request) const {
   std::optional<double> last;
   for (const auto& [slot, sink] : attempts_)
-    if (sink->request() == request) last = std::max(last.value_or(sink->writtenMs()), sink->writtenMs());
+    if (sink->request() == request && !sink->isKnown())
+      last = std::max(last.value_or(sink->writtenMs()), sink->writtenMs());
   return last;
 }
 
