Let a release's rounds go on while the next read waits for its connection

A read whose bytes are not out has nothing that a release could take; a write still holds the rounds back, as it needs the state.

Releases.GoOnWhileTheNextReadWaitsForItsConnection fails with the line taken out.

--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -43,7 +43,12 @@
   }
 
   const RequestId& request() const { return request_; }
-  double writtenMs() const { return writtenMs_; }
+  // Until when a release beside it might take what it goes on with. A read whose bytes are not out yet has
+  // nothing, however long its connection takes to come up; a write needs the state that waits for it.
+  double heldBackMs() const {
+    if (writtenMs_ == HUGE_VAL && reads_) return 0;
+    return writtenMs_ + boxes_.releaseWithinMs_;
+  }
   void known() { known_ = true; }  // to be out at its instance
   bool isKnown() const { return known_; }
   core::AttemptKey key() const { return key_; }
@@ -285,7 +290,7 @@
           [this](const RequestId& request, const Box& box) {
             return head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
           },
-          [this](const RequestId& request) { return writtenMs(request); }) {
+          [this](const RequestId& request) { return heldBackMs(request); }) {
   conductor_.connect(*this);
 }
 
@@ -301,11 +306,11 @@
 
 // The last one's, should there be several. One that is known to be out at its instance needs no release
 // beside it: no time passes meanwhile for what is held.
-std::optional<double> Boxes::writtenMs(const RequestId& request) const {
+std::optional<double> Boxes::heldBackMs(const RequestId& request) const {
   std::optional<double> last;
   for (const auto& [slot, sink] : attempts_)
     if (sink->request() == request && !sink->isKnown())
-      last = std::max(last.value_or(sink->writtenMs()), sink->writtenMs());
+      last = std::max(last.value_or(sink->heldBackMs()), sink->heldBackMs());
   return last;
 }
 
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -74,7 +74,7 @@
   class ProbeCall;
 
   std::shared_ptr<AttemptCall> attempt(core::AttemptKey key) const;
-  std::optional<double> writtenMs(const leverrelay::RequestId& request) const;
+  std::optional<double> heldBackMs(const leverrelay::RequestId& request) const;
   void askPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
                 const leverrelay::EngineId& engine);
   std::string head(const std::string& method, const std::string& target, const Box& box,
--- a/src/fronts/boxes/releases.cpp
+++ b/src/fronts/boxes/releases.cpp
@@ -48,7 +48,7 @@
 
 Releases::Releases(net::Pool& pool, Directory& directory, const core::Clock& clock,
                    core::Deadlines& deadlines, core::Counters& counters, double withinMs, Head head,
-                   WrittenMs writtenMs)
+                   HeldBackMs heldBackMs)
     : pool_(pool),
       directory_(directory),
       clock_(clock),
@@ -56,7 +56,7 @@
       counters_(counters),
       withinMs_(withinMs),
       head_(std::move(head)),
-      writtenMs_(std::move(writtenMs)) {}
+      heldBackMs_(std::move(heldBackMs)) {}
 
 // A call and its sink hold each other while it runs.
 Releases::~Releases() {
@@ -129,9 +129,9 @@
 // When the next round may begin; never if it would take what the request goes on with.
 std::optional<double> Releases::roundMs(const RequestId& request, const Releasing& state) const {
   const double due = state.course.nextMs();
-  const auto written = writtenMs_(request);
-  if (!written) return state.attempted ? std::nullopt : std::optional(due);
-  return std::max(due, *written + withinMs_);
+  const auto heldBack = heldBackMs_(request);
+  if (!heldBack) return state.attempted ? std::nullopt : std::optional(due);
+  return std::max(due, *heldBack);
 }
 
 // The one place in which a release moves on: asks more, begins its next round, or ends.
--- a/src/fronts/boxes/releases.h
+++ b/src/fronts/boxes/releases.h
@@ -24,11 +24,11 @@
 class Releases {
  public:
   using Head = std::function<std::string(const leverrelay::RequestId&, const Box&)>;  // of the call's message
-  // Of the attempt of a request that is out, if one is: when its last byte was out, HUGE_VAL before that.
-  using WrittenMs = std::function<std::optional<double>(const leverrelay::RequestId&)>;
+  // While an attempt of a request is out: until when a release may take what it goes on with.
+  using HeldBackMs = std::function<std::optional<double>(const leverrelay::RequestId&)>;
 
   Releases(net::Pool& pool, Directory& directory, const core::Clock& clock, core::Deadlines& deadlines,
-           core::Counters& counters, double withinMs, Head head, WrittenMs writtenMs);
+           core::Counters& counters, double withinMs, Head head, HeldBackMs heldBackMs);
   ~Releases();
 
   void release(const leverrelay::RequestId& request);
@@ -82,7 +82,7 @@
   core::Counters& counters_;
   double withinMs_;
   Head head_;
-  WrittenMs writtenMs_;
+  HeldBackMs heldBackMs_;
   std::map<leverrelay::RequestId, Releasing> releases_;
   std::map<leverrelay::RequestId, int> placesOut_;
   std::uint64_t calls_ = 0;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -275,6 +275,30 @@
   }
 }
 
+// The same while the next read waits for a connection that does not come up: no attempt is out, so the time
+// of what the first left goes on.
+TEST(Releases, GoOnWhileTheNextReadWaitsForItsConnection) {
+  Held held;
+  // Its queue is full, so that a further connection is neither taken nor refused.
+  boost::asio::ip::tcp::acceptor full(held.io, anyPort());
+  full.listen(0);
+  RawPeer filling(held.io);
+  filling.connect(full.local_endpoint());
+  for (const auto& [name, other] : {std::pair("r1", "r2"), std::pair("r2", "r1")})
+    held.boxes.at(name)->script = [&held, &full, other = other](StandInBox&, StandInBox::Taken& taken) {
+      held.engine->directory.find({other})->address = full.local_endpoint();
+      taken.connection->answer(500, {}, "");
+    };
+  held.post("/v1/chat/completions", platformFields("a"), "{}");
+  ASSERT_TRUE(
+      held.until([&] { return held.engine->counters["attempts.sent"] == 2 && held.releases() >= 1; }));
+  held.settle();
+  const int before = held.releases();
+  held.pass(kSettleMs + 1);
+  held.settle();
+  EXPECT_EQ(held.releases(), before + 1);
+}
+
 // A read that ends well needs what it left: the rounds of an earlier release are off.
 TEST(Releases, TakeNothingFromAnAttemptThatEndedWell) {
   Held held;
