Read the clients' guess of a request's cost on the platform's front

The second deployment's protocol was gone through line by line against fronts/platform, fronts/boxes, net and adapter. It says one thing more than the first's: X-Call-Cost, an estimate of the work in microseconds, where clients supply one. The simulator's wire carried it as workMs into Arrival::lengthHint, the real front dropped it, so the module saw two different requests. It is read now; what cannot be read, or says nothing, is no hint and refuses nobody. It goes on to the instances unchanged, as other headers of the client's do.

What only one deployment uses was found to come from the settings, the list or the request, and got tests where it had none: a request without X-Again or with either of its values, no tenants or one that is not named, three zones, two kinds of writers beside mixed ones, cells, the phases active, leaving, left and one that is not known, an entry of a zone that is not named.

--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <optional>
 #include <stdexcept>
 
 namespace dahliastall::fronts {
@@ -32,6 +33,15 @@
   return static_cast<double>(value);
 }
 
+// A guess may not cost a request: one that cannot be read, or says nothing, is none.
+std::optional<leverrelay::Duration> costOf(std::string_view text) {
+  double us = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), us);
+  const bool whole = fault == std::errc() && end == text.data() + text.size();
+  if (!whole || !(us > 0 && us <= kMostMs * 1000.0)) return std::nullopt;
+  return leverrelay::Duration(std::llround(us));
+}
+
 // The id becomes part of paths and headers towards the boxes.
 bool plainId(const std::string& id) {
   return !id.empty() && id.size() <= 128 && std::all_of(id.begin(), id.end(), [](char c) {
@@ -94,6 +104,7 @@
   arrival.session = textOf(request, "X-Route-Hash");
   arrival.timeLeft = core::toModule(numberOf(textOf(request, "X-Budget-Ms"), "X-Budget-Ms", kMostMs));
   readInfo(textOf(request, "X-Call-Info"), arrival);
+  arrival.lengthHint = costOf(textOf(request, "X-Call-Cost"));
   const std::string again = textOf(request, "X-Again");
   arrival.repeat = again == "1";
   arrival.resumed = again == "again";
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using nlohmann::json;
+namespace wire = leverrelay::wire;
 
 // ---- The same decisions through both fronts --------------------------------------------------------
 
@@ -223,6 +224,51 @@
   EXPECT_EQ(site.chats(), 0);
 }
 
+net::HttpRequest requestWith(net::Fields fields) {
+  net::HttpRequest request;
+  for (const auto& [name, value] : fields) request.set(name, value);
+  return request;
+}
+
+leverrelay::Arrival arrivalWith(const char* name, const char* value, const wire::Vocabulary& names) {
+  auto request = requestWith(platformFields("a"));
+  if (name != nullptr) request.set(name, value);
+  return fronts::arrivalOf(request, names);
+}
+
+// What only some deployments' clients say comes from the request alone: nobody has to say it, and a guess
+// that is none refuses nothing.
+TEST(Platform, TakesTheCostThatClientsGuessAsTheSimulatorsWireDoes) {
+  const wire::Vocabulary names = fronts::settingsOf(siteSettings()).names;
+  const auto costUs = [&](const char* text) {
+    const auto hint = arrivalWith(text == nullptr ? nullptr : "X-Call-Cost", text, names).lengthHint;
+    return hint ? hint->count() : -1;
+  };
+  EXPECT_EQ(costUs("12000"), 12'000);
+  EXPECT_EQ(costUs("7680.4"), 7'680);
+  for (const char* none :
+       {static_cast<const char*>(nullptr), "", "0", "-3", "soon", "12 ms", "nan", "inf", "1e300"})
+    EXPECT_EQ(costUs(none), -1) << (none == nullptr ? "not said" : none);
+  const std::string line = "ARRIVAL\ta\tmember-questions\tclub\ts\t6000\t12.0\t-\t100\t0\t50\t1";
+  const auto told = std::get<leverrelay::Arrival>(wire::parseEvent(wire::Line(line, 1), names));
+  EXPECT_EQ(told.lengthHint, arrivalWith("X-Call-Cost", "12000", names).lengthHint);
+}
+
+TEST(Platform, TellsRepeatsFromResumedRequestsAndBothFromClientsThatMarkNothing) {
+  const wire::Vocabulary names = fronts::settingsOf(siteSettings()).names;
+  const auto marks = [&](const char* name, const char* value) {
+    const auto told = arrivalWith(name, value, names);
+    return std::pair(told.repeat, told.resumed);
+  };
+  EXPECT_EQ(marks(nullptr, nullptr), std::pair(false, false));
+  EXPECT_EQ(marks("X-Again", "1"), std::pair(true, false));
+  EXPECT_EQ(marks("X-Again", "again"), std::pair(false, true));
+  auto none = names;
+  none.tenants.clear();  // a deployment without tenants, or one that the settings do not name
+  EXPECT_EQ(arrivalWith(nullptr, nullptr, none).tenant, std::nullopt);
+  EXPECT_EQ(arrivalWith("X-Caller", "stranger", names).tenant, std::nullopt);
+}
+
 // ---- The chat API ----------------------------------------------------------------------------------
 
 TEST(ChatApi, StreamsWithoutUsageUnlessItIsAskedFor) {
@@ -654,6 +700,53 @@
   EXPECT_EQ(watching.directory.find({"a"})->presence, leverrelay::Presence::kActive);
 }
 
+// Zones, kinds and cells are those that the settings and the list name, however many; a phase that is not
+// known is none to send to.
+TEST(DiscoveryWatch, TellsZonesKindsCellsAndPhasesByTheSettingsNames) {
+  json settings = siteSettings();
+  settings["zones"] = {"near", "far", "farthest"};
+  settings["myZone"] = "far";
+  settings["kinds"] = {"reader", "small", "large", "mixed"};
+  settings["familyInfo"]["dutyByKind"] = {"read", "write", "write", "both"};
+  settings["familyInfo"]["memoryTokens"] = {200'000, 90'000, 180'000, 150'000};
+  const auto setup = fronts::settingsOf(settings);
+  EXPECT_EQ(setup.settings.zone.value, 1U);
+  struct Told : core::ListSink {
+    leverrelay::ListNews news;
+    void list(leverrelay::ListNews told) override { news = std::move(told); }
+  } told;
+  Watching watching;
+  fronts::Discovery discovery{watching.io,        watching.clock, watching.deadlines, watching.counters, told,
+                              watching.directory, watching.pool,  setup.names,        fleet::Pace(2, 7)};
+  const auto entry = [](const char* id, const char* zone, const char* kind, unsigned cell,
+                        const char* phase) {
+    return json{{"id", id},         {"host_port", "127.0.0.1:9"},
+                {"locality", zone}, {"flavor", kind},
+                {"cell", cell},     {"phase", phase},
+                {"size", 1.5},      {"up_since_ms", 0}};
+  };
+  ASSERT_TRUE(discovery.line(
+      json{{"revision", 1},
+           {"complete", true},
+           {"members",
+            {entry("a", "near", "reader", 3, "active"), entry("b", "farthest", "large", 7, "leaving"),
+             entry("c", "far", "mixed", 7, "resting"), entry("d", "elsewhere", "mixed", 7, "active")}}}
+          .dump()));
+  ASSERT_EQ(told.news.entries.size(), 3U);
+  const auto& [a, b, c] = std::tie(told.news.entries[0], told.news.entries[1], told.news.entries[2]);
+  EXPECT_EQ(std::tuple(a.zone.value, a.kind.value, a.cell.value), std::tuple(0U, 0U, 3U));
+  EXPECT_EQ(std::tuple(b.zone.value, b.kind.value, b.cell.value), std::tuple(2U, 2U, 7U));
+  EXPECT_EQ(setup.settings.kinds[b.kind.value].memoryTokens, 180'000);
+  EXPECT_EQ(
+      std::tuple(a.presence, b.presence, c.presence),
+      std::tuple(leverrelay::Presence::kActive, leverrelay::Presence::kLeaving, leverrelay::Presence::kGone));
+  ASSERT_TRUE(discovery.line(
+      json{{"revision", 2}, {"complete", false}, {"members", {entry("a", "near", "reader", 3, "left")}}}
+          .dump()));
+  EXPECT_EQ(told.news.form, leverrelay::ListForm::kChanges);
+  EXPECT_EQ(told.news.entries.at(0).presence, leverrelay::Presence::kGone);
+}
+
 TEST(Configuration, IsReadByTheAdaptersOwnCodeAndComplainsPlainly) {
   json file{{"name", "n"},
             {"listen", "127.0.0.1:1"},
