Let go of engines and cells in the module that are gone

The module kept each engine that was ever listed, and each cell. An engine that has been gone for longer than contract.coldFor and that no open request names is let go of with the next list; the table of cells is made anew by each. It comes back as a new one, which it is by then.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -260,11 +260,8 @@
 
   void eject(Engine& e, const char* why, int trials) {
     if (!e.ejected) say("passing over " + e.info.engine.value + ": " + why);
-    e.ejectedAt = now_;
-    e.trialsLeft = trials;
-    e.trialAt = now_ + e.pause;
-    e.pause = std::min<Duration>(e.pause * 2, kLongestPause);
-    e.ejected = true;
+    std::tie(e.ejected, e.ejectedAt, e.trialsLeft) = std::tuple(true, now_, trials);
+    std::tie(e.trialAt, e.pause) = std::pair(now_ + e.pause, std::min<Duration>(e.pause * 2, kLongestPause));
   }
 
   void trust(Engine& e) {
@@ -329,7 +326,7 @@
 
   // A cell reads what its writers can write, within bounds of its readers; the rest crosses the link by plan.
   void plan() {
-    for (auto& [index, c] : cells_) c.readers = c.writers = 0;
+    cells_.clear();
     weight_ = count_ = {};
     for (const auto& [id, e] : engines_) {
       if (!listed(e)) continue;
@@ -471,20 +468,17 @@
 
   // The reader's cell, or one with room if that cell's readers do more than its writers can write.
   CellIndex writingCell(const Request& r) const {
-    const CellIndex own = r.reader->info.cell;
-    const auto home = cells_.find(own);
-    if (home == cells_.end()) return own;
-    if (drawOf(r.told.request.value, "near") < home->second.writes / std::max(home->second.share, kTiny))
-      return own;
-    CellIndex best = own;
+    CellIndex best = r.reader->info.cell;
+    const auto home = cells_.find(best);  // none: nothing of it is listed any more
+    if (home != cells_.end() &&
+        drawOf(r.told.request.value, "near") < home->second.writes / std::max(home->second.share, kTiny))
+      return best;
     double least = HUGE_VAL;
     for (const auto& [index, cell] : cells_) {
       const double room = cell.writes - cell.share;
       if (room <= 0) continue;
       const double score = -std::log(drawOf(r.told.request.value, std::to_string(index.value))) / room;
-      if (score >= least) continue;
-      least = score;
-      best = index;
+      if (score < least) std::tie(least, best) = std::pair(score, index);
     }
     return best;
   }
@@ -535,12 +529,8 @@
            r.place->info.presence == Presence::kLeaving;
   }
 
-  void toWrite(Request& r) {
-    r.phase = Phase::kRead;
-    startWrite(r);
-  }
-
   void startWrite(Request& r) {
+    r.phase = Phase::kRead;
     Engine* writer = placeUsable(r) ? r.place : chooseWriter(r);
     if (writer == nullptr) return;  // pump() tries again or lets go
     const bool prepaid = writer == r.place;
@@ -659,8 +649,7 @@
     if (a.writes && classOf(r).effect == Effect::kUnsafe) return;  // a read has no effect
     const bool longOut = now_ - a.sentAt >= scaled(r.aim - r.arrivedAt, kSilentAims);
     const bool swallowed = a.overtaken >= kOvertaken && (longOut || !a.writes);
-    if (!swallowed && !(longOut && silent(*a.engine))) return;
-    if (!anotherFor(r, *a.engine)) return;
+    if ((!swallowed && !(longOut && silent(*a.engine))) || !anotherFor(r, *a.engine)) return;
     a.calledOff = true;
     noteBad(*a.engine, "silent", false);
     emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
@@ -721,7 +710,7 @@
       return finish(r);
     retries_ -= 1;
     unbook(r);
-    if (stateLives) return toWrite(r);
+    if (stateLives) return startWrite(r);
     letGo(r);
     r.phase = Phase::kWaiting;
     startRead(r);
@@ -778,13 +767,10 @@
 
   void on(const ListNews& news) {
     if (news.form == ListForm::kFailed) return void(askAgainAt_ = now_ + kAskPause);
-    if (news.form != ListForm::kChanges) {
-      std::set<EngineId> named;
-      for (const ListEntry& entry : news.entries) named.insert(entry.engine);
-      for (auto& [id, e] : engines_)
-        if (named.count(id) == 0) tellOff(e, Presence::kGone);
-    }
+    if (news.form != ListForm::kChanges)  // a whole list; what it names is taken back in
+      for (auto& [id, e] : engines_) tellOff(e, Presence::kGone);
     for (const ListEntry& entry : news.entries) take(entry);
+    forgetGone();
     plan();
   }
 
@@ -793,6 +779,21 @@
     e.info.presence = presence;
   }
 
+  // What has been gone for longer than a new one is cold, unless a request still names it.
+  void forgetGone() {
+    std::erase_if(engines_, [this](const auto& entry) {
+      const Engine& e = entry.second;
+      const bool gone = e.toldOff && e.info.presence == Presence::kGone;
+      if (!gone || now_ - *e.toldOff <= set_.contract.coldFor) return false;
+      const auto tried = [&e](const Attempt& a) { return a.engine == &e; };
+      return std::none_of(requests_.begin(), requests_.end(), [&](const auto& request) {
+        const Request& r = request.second;
+        return r.place == &e || r.reader == &e || r.home == &e || r.booked == &e ||
+               std::any_of(r.attempts.begin(), r.attempts.end(), tried);
+      });
+    });
+  }
+
   void take(const ListEntry& entry) {
     if (entry.kind.value >= set_.kinds.size()) return;
     auto [it, fresh] = engines_.try_emplace(entry.engine);
@@ -910,7 +911,7 @@
     if (sent) r.readAt = now_;  // what never came up was no send: the state's time goes on
     if (ended.outcome == Outcome::kRead) {
       r.reader = &e;
-      return toWrite(r);
+      return startWrite(r);
     }
     if (now_ >= r.deadline) return finish(r);
     const bool wrote = r.phase == Phase::kWriting && e.role == Role::kWriter && r.reader != nullptr;
@@ -931,8 +932,7 @@
   void signOfLife(Attempt& a, Duration took, bool counts) {
     Engine& e = *a.engine;
     if (counts) answer_[at(e.role)].add(static_cast<double>(took.count()), now_);
-    e.quietSince = now_;
-    e.out = std::max(0, e.out - 1);
+    std::tie(e.quietSince, e.out) = std::pair(now_, std::max(0, e.out - 1));
   }
 
   void on(const ProbeEnded&) {}  // none is asked for
