--- a/src/coordination/maintenance.cpp
+++ b/src/coordination/maintenance.cpp
@@ -101,9 +101,9 @@
                                                   box->second.role == it->second.role && others > 0)
         --others;
     fleet::Drains drains;
-    const auto answer =
-        drains.handle({plan.id + "/" + item.box, "plan " + plan.id, item.box, true, 0, {}, false},
-                      {true, others, it->second.role, 0}, nowMs);
+    // By names of its own: those of a plan and a box together may be longer than a command's.
+    const auto answer = drains.handle({"step", "plan", item.box, true, 0, {}, false},
+                                      {true, others, it->second.role, 0}, nowMs);
     if (answer.code == fleet::DrainCode::kDone) return reach(plan, item, ItemState::kDraining);
   }
   return "";
