Draw a cold engine's sends per attempt, so that the fleet's sum needs no head start

Cause: a node that heard of a start (or that started itself in the ramp) held a token at once with probability coldFrom x fallFactor x 0.35, whatever the engine can do: of 300 nodes some ninety. Their number is no part of what the engine bears in a window; only the small share of requests that wanted it kept them from all being used. Where the rest of a role has gone, those are used at once, and each node that restarts in the ramp drew anew.

Change: an attempt draws, by its own id, at most one of the cold engines of its step, each with its part of the role's weight times half of coldFrom x fallFactor, and goes there first. The fleet sends each that part of all that it sends, however traffic lies over nodes and keys, whoever forgot, and whatever is gone. Nothing is handed out at the start but one send over all nodes. Nodes that see enough of an engine to count (one send and more a window) count as before, without the head start.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cmath>
 #include <map>
-#include <random>
 #include <set>
 
 #include "leverrelay/router.h"
@@ -24,11 +23,9 @@
 constexpr int kNewIsGood = 3;                    // successes that a new engine is believed to have had
 constexpr int kOvertaken = 3;                    // later sends answered well ahead of one that was swallowed
 constexpr double kOvertakenTimes = 2;            // what the later one took, for its size
-constexpr seconds kFirstPause{1};                // first ejection; doubles with each trial that fails
-constexpr seconds kLongestPause{8};              // so that an engine that came back is found within seconds
-constexpr double kSilentFor = 5;                 // times the usual answer time of the role without any sign
-constexpr double kSilentAims = 0.5;              // and at least this share of the shortest aim
-constexpr double kPriorStreams = 3;              // own answers that count as much as an even spread does
+constexpr seconds kFirstPause{1}, kLongestPause{8};  // of an ejection; doubles with each trial that fails
+constexpr double kSilentFor = 5, kSilentAims = 0.5;  // usual answer times and least aims without any sign
+constexpr double kPriorStreams = 3;                  // own answers that count as much as an even spread does
 constexpr double kReadBound = 1.5;     // times the whole prompt's own reading that reads may wait at home
 constexpr double kLeastRead = 0.5;     // of their even share of reads that a cell's readers get at least
 constexpr double kMostRead = 1.25;     // and at most, however many writers their cell has
@@ -47,8 +44,8 @@
 constexpr double kSpareShare = 0.6;   // of the time left that an attempt may take while a next is possible
 constexpr double kRetryShare = 0.3;   // further attempts allowed for each arrival
 constexpr double kRetryBurst = 30;    // and at once, after a calm stretch
-constexpr double kColdSafety = 0.7;   // share of the cold budget that is used,
-constexpr double kColdHead = 0.5;     // and of the nodes that it covers, those that may send at once
+constexpr double kColdSafety = 0.7;   // share of the cold budget that is used where sends are counted,
+constexpr double kColdDrawn = 0.5;    // and where they are drawn: the rest is for chance and a surge to twice
 constexpr double kHoldShare = 0.6;    // of the release limit that a read state may wait for a writer
 constexpr seconds kFade{1};           // in which an estimate that nothing refreshes loses half its say,
 constexpr double kFadeArrivals = 4;   // or so many arrivals, where a node sees few, but no longer than
@@ -61,9 +58,8 @@
 constexpr double kAdvice = 0.1;            // of the longest wait that clients heed, advised with a refusal
 constexpr double kTiny = 1e-9;             // keeps divisions by nothing apart from nothing
 constexpr seconds kAskPause{1};            // between tries to reach the list
-constexpr double kHandOverFrom = 0.6;  // share of the grace of a node that ends: its streams move from here,
-constexpr double kHandOverTo = 0.9;    // when a peer that ended before it is back, until here
-constexpr double kLastCall = 0.93;     // what has no stream by then gets its answer
+constexpr double kHandOverFrom = 0.6, kHandOverTo = 0.9;  // shares of a node's grace to end in: streams move
+constexpr double kLastCall = 0.93;  // between, as a peer that ended before is back; what has none is answered
 
 std::size_t at(Role role) { return static_cast<std::size_t>(role); }
 
@@ -187,7 +183,7 @@
 class Router::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed)
-      : set_(settings), problem_(problemWith(settings)), salt_(std::to_string(seed)), random_(seed) {}
+      : set_(settings), problem_(problemWith(settings)), salt_(std::to_string(seed)) {}
 
   void reconfigure(const Settings& settings) {
     set_ = settings;
@@ -237,20 +233,34 @@
     return age >= 1 ? 1 : std::max(set_.contract.coldFrom, age);
   }
 
-  // Guards rule four: this node's part of the budget, by what an engine of its weight usually gets from it. A
-  // draw (see take) spreads first sends and lets some nodes send at once, as who sees little seldom comes by.
-  bool coldAllows(Engine& e) {
+  double coldPart() const { return set_.contract.coldFrom * set_.contract.fallFactor; }
+
+  // Guards rule four with nodes that share nothing: each attempt draws at most one of the cold engines of its
+  // step, by their parts of the role's weight. So the fleet sends each that part of all that it sends,
+  // whoever sees how much, has just started, or has nowhere else to go.
+  const Engine* drawn(const Request& r, Role step) const {
+    const double all = std::max(kTiny, mostWeight_[at(step)] + mostWeight_[at(Role::kMixed)]);
+    double left = drawOf(salt_ + r.told.request.value, std::to_string(3 * r.attempts.size() + at(step)));
+    for (const auto& [id, e] : engines_) {
+      if (!listed(e) || warmShare(e) >= 1 || (e.role != step && e.role != Role::kMixed)) continue;
+      if ((left -= coldPart() * kColdDrawn * e.info.weight / all) < 0) return &e;
+    }
+    return nullptr;
+  }
+
+  // Who sees enough of what an engine gets in a window counts, others draw; one in a window is for all nodes.
+  bool coldAllows(Engine& e, const Engine* drawn) {
     if (warmShare(e) >= 1) return true;
-    const double window = ratio(set_.contract.fallFor, seconds(1));
     const double seen = -std::expm1(-ratio(std::max(now_ - startedAt_, set_.contract.fallFor), kFlowMemory));
-    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) / ratio(kFlowMemory, seconds(1)) / seen *
-                         e.info.weight / std::max(mostWeight_[at(e.role)], kTiny);
-    const double perSecond = std::max(
-        1 / (window * set_.nodes), set_.contract.coldFrom * set_.contract.fallFactor * usual * kColdSafety);
-    e.coldTokens = std::min(std::max(1.0, perSecond * window / 4),
-                            e.coldTokens + perSecond * ratio(now_ - e.coldFilled, seconds(1)));
+    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) *
+                         ratio(set_.contract.fallFor, kFlowMemory) / seen * e.info.weight /
+                         std::max(mostWeight_[at(e.role)], kTiny);
+    const double own = coldPart() * kColdSafety * usual;
+    const double part = own < 1 ? 1.0 / set_.nodes : own;
+    e.coldTokens = std::min(std::max(1.0, part / 4),
+                            e.coldTokens + part * ratio(now_ - e.coldFilled, set_.contract.fallFor));
     e.coldFilled = now_;
-    return e.coldTokens >= 1;
+    return e.coldTokens >= 1 || (own < 1 && &e == drawn);
   }
 
   void countSend(Engine& e) {
@@ -264,10 +274,7 @@
     std::tie(e.trialAt, e.pause) = std::pair(now_ + e.pause, std::min<Duration>(e.pause * 2, kLongestPause));
   }
 
-  void trust(Engine& e) {
-    std::tie(e.ejected, e.pause) = std::pair(false, kFirstPause);
-    e.fails = Average();
-  }
+  void trust(Engine& e) { std::tie(e.ejected, e.pause, e.fails) = std::tuple(false, kFirstPause, Average()); }
 
   // What fails or swallows some may do one trial well: it takes several, and what was sent before is none.
   void noteGood(Engine& e, Time sentAt) {
@@ -395,12 +402,14 @@
   // sooner, as it keeps the text: a jam must not feed itself by moving keys. Who refused the class is last.
   Engine* chooseReader(Request& r) {
     const Duration bound = scaled(timeFor(r.told.promptTokens), kReadBound);
-    const std::vector<Engine*> order = readersInOrder(r);
+    std::vector<Engine*> order = readersInOrder(r);
     if (!order.empty()) r.home = order.front();
+    const Engine* cold = drawn(r, Role::kReader);
+    std::stable_partition(order.begin(), order.end(), [&](const Engine* e) { return e == cold; });
     Engine* best = nullptr;
     for (Engine* e : order) {
-      if (!fit(*e) || r.avoid.count(e->info.engine) != 0 || now_ < e->fullUntil || !coldAllows(*e)) continue;
-      if (e->role == Role::kMixed && full(*e)) continue;
+      const bool room = now_ >= e->fullUntil && (e->role == Role::kReader || !full(*e));
+      if (!room || !fit(*e) || r.avoid.count(e->info.engine) != 0 || !coldAllows(*e, cold)) continue;
       auto worth = [&](const Engine& x) { return std::make_tuple(refuses(r, x), readTime(r, x)); };
       if (best != nullptr && worth(*e) >= worth(*best)) continue;
       best = e;
@@ -450,12 +459,13 @@
   // Fewest own streams for its size; nodes break ties differently, so that they do not herd.
   Engine* leastLoaded(const Request& r, std::optional<CellIndex> cell) {
     Engine* best = nullptr;
+    const Engine* cold = drawn(r, Role::kWriter);
     auto worth = [&](const Engine& e) {
-      return std::make_tuple(full(e), refuses(r, e), load(e), hashOf(salt_, e.info.engine.value));
+      return std::make_tuple(full(e), refuses(r, e), &e != cold, load(e), hashOf(salt_, e.info.engine.value));
     };
     for (auto& [id, e] : engines_) {
-      if (e.role == Role::kReader || (cell && (e.role == Role::kMixed || e.info.cell != *cell)) || !fit(e) ||
-          r.avoid.count(id) != 0 || !coldAllows(e))
+      const bool far = cell && (e.role == Role::kMixed || e.info.cell != *cell) && &e != cold;
+      if (e.role == Role::kReader || far || !fit(e) || r.avoid.count(id) != 0 || !coldAllows(e, cold))
         continue;
       if (best == nullptr || worth(e) < worth(*best)) best = &e;
     }
@@ -533,9 +543,8 @@
     r.phase = Phase::kRead;
     Engine* writer = placeUsable(r) ? r.place : chooseWriter(r);
     if (writer == nullptr) return;  // pump() tries again or lets go
-    const bool prepaid = writer == r.place;
     book(r, *writer);
-    if (sendTo(r, *writer, Phase::kWriting) && !prepaid) countSend(*writer);
+    if (sendTo(r, *writer, Phase::kWriting) && writer != r.place) countSend(*writer);  // a place is counted
   }
 
   // ---- 5 Admission ---------------------------------------------------------------------------------
@@ -803,9 +812,7 @@
     e.role = set_.kinds[entry.kind.value].role;
     for (int i = 0; fresh && i < kNewIsGood; ++i) e.fails.add(0);
     if (fresh || restarted) e.coldFilled = now_;
-    const double head = kColdHead * set_.contract.coldFrom * set_.contract.fallFactor * kColdSafety;
-    if (fresh || restarted)
-      e.coldTokens = std::min(1.0, head + std::uniform_real_distribution<>(0, 1)(random_));
+    if (fresh || restarted) e.coldTokens = std::min(1.0, drawOf(salt_, it->first.value) + 1.0 / set_.nodes);
     if (restarted) trust(e);
     if (entry.presence == Presence::kActive) e.toldOff.reset();
     else tellOff(e, entry.presence);
@@ -838,9 +845,7 @@
     overtake(*a, opened.took);
     a->engine->readTokens -= std::exchange(a->tokens, 0);
     if (r->phase == Phase::kOver) return;
-    r->phase = Phase::kStreaming;
-    r->openedAt = now_;
-    r->pinned = false;
+    std::tie(r->phase, r->openedAt, r->pinned) = std::tuple(Phase::kStreaming, now_, false);
     book(*r, *a->engine);
   }
 
@@ -1042,9 +1047,8 @@
   std::map<std::string, Flow> keyFlow_;                    // arrivals of a key
   double readRate_ = 0;                                    // unread tokens a microsecond where nothing waits
   double held_ = 0, streams_ = 0, retries_ = kRetryBurst;  // own answers' tokens, and how many; spare retries
-  std::mt19937_64 random_;
-  Flow arrivals_, sends_[3], writerReads_;  // sends by role; tokens sent to be read by writers
-  Flow reads_, timely_;                     // reads that ended, and those of them in time
+  Flow arrivals_, sends_[3], writerReads_;                 // sends by role; tokens sent to be read by writers
+  Flow reads_, timely_;                                    // reads that ended, and those of them in time
   std::array<double, 3> weight_{}, mostWeight_{}, count_{};  // by role: listed, the most ever, how many
   std::map<RequestId, Request> requests_;
   std::optional<Time> askAgainAt_, stopsAt_;
