Close called-off attempts before their refusal or next send

So an attempt at a reader counts as long as its connection is open. Cause: the close and what follows travel on different connections, and nothing kept the refusal or the next send from overtaking the close (Conductor::act(), carryOut(Send)). Change: what follows a close of ours waits 10 ms: a refusal and a send of a class that may not simply run twice, and any send after a cancel or time-out where no second copy is allowed. A refusal of a safe class does not wait. Tests: CalledOffAttempts.* on loopback with a set clock; both fail with the wait set to 0.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -16,6 +16,9 @@
 // How long past deadline and grace the module may leave a request without an answer before the core gives
 // one.
 constexpr double kOverdueMs = 10;
+// By how much a close may reach its engine later than what is sent next reaches others, on other connections:
+// far above the way within a deployment, and far below the slack of each limit.
+constexpr double kCloseMs = 10;
 // A stream that is to move is looked at so often until what has come of it is passed on; a client that reads
 // slowly may keep that from happening, and no longer than this.
 constexpr double kMoveLookMs = 5;
@@ -56,18 +59,21 @@
       drainGraceMs_(toMs(settings.contract.drainGrace)),
       answerGraceMs_(toMs(settings.contract.answerGrace)) {
   figures_.classes(settings.classes.size());
-  learnKinds(settings);
+  learn(settings);
 }
 
-void Conductor::learnKinds(const Settings& settings) {
+void Conductor::learn(const Settings& settings) {
   kindReads_.clear();
+  repeatsFreely_.clear();
   for (const KindSettings& kind : settings.kinds) kindReads_.push_back(kind.role == Role::kReader);
+  for (const ClassSettings& cls : settings.classes) repeatsFreely_.push_back(cls.effect == Effect::kSafe);
+  secondCopies_ = settings.limits.secondCopies;
 }
 
 void Conductor::reconfigure(const Settings& settings) {
   router_.reconfigure(settings);
   figures_.classes(settings.classes.size());
-  learnKinds(settings);
+  learn(settings);
   drainGraceMs_ = toMs(settings.contract.drainGrace);
   answerGraceMs_ = toMs(settings.contract.answerGrace);
 }
@@ -172,6 +178,16 @@
   return r == nullptr || r->streaming || !r->answerer;
 }
 
+// Guards a refusal and the next send against a close that they overtake: until it is there, an attempt that
+// was called off is open at its engine, be it a reader, and may run. Classes that may run twice need no wait.
+double Conductor::closesArriveMs(const Request& request, bool safeToo) const {
+  return repeatsFreely(request) && !safeToo ? 0 : request.closedMs + kCloseMs;
+}
+
+bool Conductor::repeatsFreely(const Request& request) const {
+  return request.cls < repeatsFreely_.size() && repeatsFreely_[request.cls];
+}
+
 // A client's close may have come while its handler still waits for its turn: no attempt begins for who has
 // gone.
 bool Conductor::maySend(AttemptKey key) {
@@ -303,6 +319,10 @@
   const RequestKey owner = a->request;
   ++counters_[nameOf(result.outcome)];
   const bool streamed = a->opened;
+  const bool calledOff = result.outcome == Outcome::kCancelled || result.outcome == Outcome::kTimeout;
+  // An answer that cannot be read is closed as well, and goes on at its engine perhaps.
+  const bool spoilt = result.outcome == Outcome::kError && !repeatsFreely(r);
+  if (calledOff || spoilt) r.closedMs = clock_.nowMs();
   const auto listing = fleet_.find(a->engine);
   r.lastOutcome = nameOf(result.outcome) + std::string_view("attempts.").size();
   r.lastAt = listing == fleet_.end() ? "" : listing->second.reads ? "_reading" : "_answering";
@@ -410,9 +430,12 @@
           if (r == nullptr || !r->answerer || r->streaming) return;
           ++counters_["requests.refused"];
           ++counters_[std::string("requests.refused_after.") + r->lastOutcome + r->lastAt];
-          const bool late = clock_.nowMs() >= r->deadlineMs;
-          conclude(*r, Ending::kShed)
-              ->refuse({what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt, late});
+          const Refusal refusal{what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt,
+                                clock_.nowMs() >= r->deadlineMs};
+          const double after = closesArriveMs(*r, /*safeToo=*/false);
+          const std::shared_ptr<Answerer> answerer = conclude(*r, Ending::kShed);
+          if (clock_.nowMs() >= after) return answerer->refuse(refusal);
+          deadlines_.add(after, [answerer, refusal] { answerer->refuse(refusal); });
         } else if constexpr (std::is_same_v<What, Fail>) {
           Request* r = byId(what.request);
           if (r == nullptr || !r->answerer || r->streaming) return;
@@ -459,7 +482,7 @@
   attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
   const auto listing = fleet_.find(send.engine);
   const bool reads = listing != fleet_.end() && listing->second.reads;
-  engines_->start({key, r->id, send.engine, r->payload, until, reads});
+  engines_->start({key, r->id, send.engine, r->payload, until, reads, closesArriveMs(*r, !secondCopies_)});
 }
 
 void Conductor::carryOut(const HoldPlace& hold) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -108,6 +108,7 @@
     std::vector<AttemptKey> attempts;
     std::size_t out = 0;
     double deadlineMs = 0;
+    double closedMs = 0;  // when a connection of an attempt was last closed from this side
     bool streaming = false;
     AttemptKey stream;
     // Of its last attempt that ended: the names of its outcome, and of what kind of engine that was at.
@@ -115,7 +116,9 @@
     std::optional<Deadlines::Key> overdue;
   };
 
-  void learnKinds(const leverrelay::Settings& settings);
+  void learn(const leverrelay::Settings& settings);
+  bool repeatsFreely(const Request& request) const;
+  double closesArriveMs(const Request& request, bool safeToo) const;
   void post(leverrelay::Event event);
   void run();
   void act(const leverrelay::Action& action);
@@ -139,7 +142,9 @@
   Counters& counters_;
   leverrelay::Router router_;
   double drainGraceMs_, answerGraceMs_;
-  std::vector<bool> kindReads_;  // by kind of engine
+  std::vector<bool> kindReads_;      // by kind of engine
+  std::vector<bool> repeatsFreely_;  // by class
+  bool secondCopies_ = false;
   Engines* engines_ = nullptr;
   std::function<void(const std::string&)> log_ = [](const std::string&) {};
   std::function<void(const leverrelay::Action&)> watch_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -53,7 +53,8 @@
   leverrelay::EngineId engine;
   std::shared_ptr<const Payload> payload;
   double untilMs;
-  bool reads;  // at a reader: what it leaves is a state, and it takes none
+  bool reads;          // at a reader: what it leaves is a state, and it takes none
+  double afterMs = 0;  // nothing of it goes out before
 };
 
 // The way to the engines. Whatever it reports comes through Conductor, also at once from within a call.
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -334,7 +334,8 @@
   const Box* box = directory_.find(dispatch.engine);
   if (box == nullptr) return conductor_.ended(dispatch.attempt, {Outcome::kNotSent});
   const auto& payload = static_cast<const ChatPayload&>(*dispatch.payload);
-  const double left = std::max(0.0, std::floor(dispatch.untilMs - clock_.nowMs()));
+  const double left =
+      std::max(0.0, std::floor(dispatch.untilMs - std::max(clock_.nowMs(), dispatch.afterMs)));
   net::Fields fields{{dialect_.idHeader, dispatch.request.value},
                      {dialect_.budgetHeader, std::to_string(static_cast<long>(left))},
                      {"Content-Length", std::to_string(payload.body->size())}};
@@ -344,7 +345,7 @@
   const auto sink = std::make_shared<AttemptCall>(*this, dispatch);
   attempts_[dispatch.attempt.slot] = sink;
   sink->hold(pool_.call(box->address, head(payload.method, payload.target, *box, std::move(fields)),
-                        payload.body, sink));
+                        payload.body, sink, net::Pool::Urgency::kInTurn, dispatch.afterMs));
 }
 
 void Boxes::abandon(core::AttemptKey key) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -304,20 +304,30 @@
 
 std::shared_ptr<Call> Pool::call(const Endpoint& to, std::string head,
                                  std::shared_ptr<const std::string> body, std::shared_ptr<CallSink> sink,
-                                 Urgency urgency) {
+                                 Urgency urgency, double afterMs) {
   const bool urgent = urgency == Urgency::kFirst;
   const auto call =
       std::make_shared<Call>(*this, to, std::move(head), std::move(body), std::move(sink), urgent);
-  if (admit(call)) return call;
+  if (clock_.nowMs() >= afterMs) enter(call);
+  else
+    call->dial_ = deadlines_.add(afterMs, [this, call] {
+      call->dial_.reset();
+      enter(call);
+    });
+  return call;
+}
+
+void Pool::enter(const std::shared_ptr<Call>& call) {
+  if (admit(call)) return;
   ++counters_["calls.waited"];
   const auto behind = [](const auto& other) { return !other->urgent_; };
-  waiting_.insert(urgent ? std::find_if(waiting_.begin(), waiting_.end(), behind) : waiting_.end(), call);
+  waiting_.insert(call->urgent_ ? std::find_if(waiting_.begin(), waiting_.end(), behind) : waiting_.end(),
+                  call);
   // The caller may take it out of the line before by abandon().
   call->dial_ = deadlines_.add(clock_.nowMs() + limits_.dialMs, [call] {
     call->dial_.reset();
     call->fail(CallFailure::kWithdrawn);
   });
-  return call;
 }
 
 bool Pool::admit(const std::shared_ptr<Call>& call) {
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -137,7 +137,8 @@
   // A call that has not got a connection within the time for one to come up is withdrawn: to whoever counts
   // when it was sent, waiting here is the same as a dial that hangs.
   std::shared_ptr<Call> call(const Endpoint& to, std::string head, std::shared_ptr<const std::string> body,
-                             std::shared_ptr<CallSink> sink, Urgency urgency = Urgency::kInTurn);
+                             std::shared_ptr<CallSink> sink, Urgency urgency = Urgency::kInTurn,
+                             double afterMs = 0);  // it stands nowhere in line until then
   // Takes up what another process left off; the descriptor is this one's now. Goes on with goOn().
   std::shared_ptr<Call> adopt(const Endpoint& from, const Call::Rest& rest, std::shared_ptr<CallSink> sink);
   void dropIdle(const Endpoint& to);
@@ -158,6 +159,7 @@
   friend class Call;
   using Idle = std::list<std::shared_ptr<Link>>;  // in the order they fell idle
 
+  void enter(const std::shared_ptr<Call>& call);
   bool admit(const std::shared_ptr<Call>& call);
   // A part of the connections is kept for what is urgent; none where there are too few to share.
   std::size_t reserve() const { return limits_.connections / 16; }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -5,6 +5,7 @@
 namespace dahliastall {
 namespace {
 
+using namespace std::chrono_literals;
 using State = net::ClientConnection::State;
 
 // ---- What is held for a request --------------------------------------------------------------------
@@ -482,6 +483,44 @@
   EXPECT_TRUE(values("Keep-Alive").empty());
 }
 
+// ---- Closes of attempts against what follows them --------------------------------------------------
+
+// The close of an attempt that was called off and what follows it travel on different connections. A refusal
+// that overtakes it says that a repeat is harmless while the attempt is still open at its instance; a send
+// that does makes a second copy. The answer to a class that may run twice need not wait.
+TEST(CalledOffAttempts, AreClosedBeforeTheirRequestIsRefused) {
+  for (const std::string cls : {"membership-changes", "member-questions"}) {
+    Site site(kSplit, false);
+    for (auto& [id, box] : site.boxes) box->script = leaveSilent;
+    net::Fields fields = platformFields("a");
+    fields[1].second = cls;
+    const auto reply = site.post("/v1/x", fields, "{}");
+    ASSERT_TRUE(site.until([&] { return site.chats() == 1; }));
+    site.engine->conductor.stopping(1000);
+    site.pass(940);  // the last call
+    for (int i = 0; i < 20; ++i) site.io.poll(), site.io.restart(), site.io.run_one_for(1ms);
+    EXPECT_EQ(reply->over, cls == "member-questions") << "nothing may overtake the close";
+    site.pass(10);
+    EXPECT_EQ(site.finished(reply)->status, 503U);
+  }
+}
+
+TEST(CalledOffAttempts, AreClosedBeforeTheirRequestIsSentAgain) {
+  Site site(kSplit, false);
+  auto settings = site.site.setup.settings;
+  settings.classes[1].aim = 6s;
+  site.engine->reconfigure(settings, fronts::platformDialect());
+  for (auto& [id, box] : site.boxes) box->script = leaveSilent;
+  site.post("/v1/x", platformFields("a"), "{}");
+  ASSERT_TRUE(site.until([&] { return site.chats() == 1; }));
+  site.pass(3'700);  // of 6 s: the reader is given up, and there is time for another
+  ASSERT_TRUE(site.until([&] { return site.engine->counters["attempts.sent"] == 2; }));
+  for (int i = 0; i < 20; ++i) site.io.poll(), site.io.restart(), site.io.run_one_for(1ms);
+  EXPECT_EQ(site.chats(), 1);
+  site.pass(10);
+  EXPECT_TRUE(site.until([&] { return site.chats() == 2; }));
+}
+
 // ---- Closes against what still arrives -------------------------------------------------------------
 
 struct Door : Stage, net::RequestHandler {
