Take no refusal on a used connection for a proof that a write never ran

An instance may send a second answer late. Over 4 ms (kRestMs) after the first it meets the next request on that connection and is read as that request's: a refusal then "proved" that a write which runs had never run, and it was sent again or refused. A 202 counted as such a proof too, at a writer as well. Change: of a class that may not simply run twice a refusal proves it on the first request of a connection alone; a 202 never does (a reader's attempt has no effect anyway). For other classes nothing changes. No connection more is opened. Not held, as HTTP/1.1 does not name an answer's request: a whole second stream or 202 that comes so late is still taken for the next request's. Test: SecondAnswers.* sends a refusal a second time, into the next request, on real sockets; fails with the old judge() (sent again, 200 in place of 502).

--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -208,6 +208,7 @@
   double keptTokens;  // on kRead and kServed: prompt tokens that needed no reading
   bool stateGone;     // no state waits any more: there was none to fetch (kFull), or it was fetched
   std::optional<LoadReport> report;
+  bool doubtful = false;  // on kFull: the refusal may have been meant for an earlier request
 };
 
 struct StreamOpened {
@@ -257,7 +258,7 @@
   RequestId request;
   EngineId engine;
   Time until;
-};  // attempts count from 0
+};                            // attempts count from 0
 struct HoldPlace {
   RequestId request;
   EngineId engine;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -328,7 +328,7 @@
   r.lastAt = listing == fleet_.end() ? "" : listing->second.reads ? "_reading" : "_answering";
   AttemptEnded event{
       r.id,  a->number,         a->engine,        result.outcome, toModule(clock_.nowMs() - a->sentMs),
-      false, result.keptTokens, result.stateGone, std::nullopt};
+      false, result.keptTokens, result.stateGone, std::nullopt,   result.doubtful};
   const auto out = outAt_.find(a->engine);
   if (out != outAt_.end() && --out->second == 0) outAt_.erase(out);
   attempts_.remove(key);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -76,6 +76,7 @@
   leverrelay::Outcome outcome;
   double keptTokens = 0;
   bool stateGone = false;
+  bool doubtful = false;  // the answer may have been one to an earlier request on the same connection
 };
 
 }  // namespace dahliastall::core
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -83,6 +83,7 @@
 
   void head(const net::ResponseHead& head) override {
     status_ = head.result_int();
+    first_ = call_->first();
     rejected_ = head.find(boxes_.dialect_.rejectedHeader) != head.end();
     boxes_.heard(engine_);
   }
@@ -158,8 +159,10 @@
   core::Result result() const {
     if (status_ == 200) return {Outcome::kServed, usage_.cachedTokens()};
     if (status_ == 202) return {Outcome::kRead, usage_.cachedTokens()};
-    if (rejected_ && status_ == 410) return {Outcome::kFull, 0, true};
-    if (rejected_ && (status_ == 503 || status_ == 504)) return {Outcome::kFull};
+    // Guards against a late second answer to the request before, which would be taken for a proof that this
+    // one never ran: nothing in an answer names its request, so it proves that on a fresh connection alone.
+    if (rejected_ && status_ == 410) return {Outcome::kFull, 0, true, !first_};
+    if (rejected_ && (status_ == 503 || status_ == 504)) return {Outcome::kFull, 0, false, !first_};
     return {Outcome::kError};
   }
 
@@ -186,7 +189,7 @@
   int parts_ = 0;  // in which whole events came
   unsigned status_ = 0;
   bool reads_;
-  bool begun_ = false, written_ = false, rejected_ = false, known_ = false;
+  bool begun_ = false, written_ = false, rejected_ = false, known_ = false, first_ = false;
 };
 
 // ---- Places, releases and probes -------------------------------------------------------------------
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -68,7 +68,9 @@
        std::shared_ptr<CallSink> sink, bool urgent = false);
 
   State state() const { return state_; }
-  void abandon();       // closes the connection; the sink hears no more
+  void abandon();  // closes the connection; the sink hears no more
+  // Whether its connection carried nothing before: HTTP/1.1 does not tell whose answer one on a used one is.
+  bool first() const { return link_ && link_->calls == 1; }
   bool unread() const;  // something has come that the sink has not been given
   void resume();
   void garbled() { fail(CallFailure::kGarbled); }  // the sink cannot read the body
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -902,8 +902,8 @@
     if (outcome == Outcome::kConnectionLost && !a.calledOff) noteBad(e, "lost connections", false);
     if (outcome == Outcome::kFull && !ended.stateGone)
       e.refuses[callerOf(r)] = now_ + scaled(classOf(r).aim, kRefusedAims);  // others may find room
-    a.harmless = outcome == Outcome::kFull || outcome == Outcome::kNoConnection ||
-                 outcome == Outcome::kNotSent || outcome == Outcome::kRead;
+    a.harmless = outcome == Outcome::kNoConnection || outcome == Outcome::kNotSent ||
+                 (outcome == Outcome::kFull && !ended.doubtful);
   }
 
   void settle(Request& r, Engine& e, const AttemptEnded& ended) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -521,6 +521,36 @@
   EXPECT_TRUE(site.until([&] { return site.chats() == 2; }));
 }
 
+// ---- Second answers --------------------------------------------------------------------------------
+
+// An instance refuses the request before once more, late, as the next is under way on that connection and
+// runs: to the wire it is the next one's answer. It proves nothing of a class that must not run twice; of a
+// safe one it is believed, and so is a refusal on a connection that carried nothing before.
+TEST(SecondAnswers, ProveNothingAboutTheRequestThatIsUnderWay) {
+  const net::Fields refused{{"X-Rejected", "1"}};
+  for (const auto& [cls, used] :
+       {std::pair{"membership-changes", true}, {"member-questions", true}, {"membership-changes", false}}) {
+    Site site({{"m1", "both", 0}, {"m2", "both", 0}}, false);
+    const auto ask = [&, cls = cls](const std::string& id) {
+      net::Fields fields = platformFields(id);
+      fields[1].second = cls;
+      return site.finished(site.post("/v1/x", fields, "{}"))->status;
+    };
+    if (used) EXPECT_EQ(ask("a"), 200U);
+    site.pass(5);  // the connection has rested
+    int refusals = 0;
+    for (auto& [id, box] : site.boxes)
+      box->script = [&](StandInBox& box, StandInBox::Taken& taken) {
+        if (++refusals > 1) return streamWhole(box, taken);
+        EXPECT_EQ(taken.connection, box.taken.front()->connection);
+        box.taken.front()->connection->answer(503, refused, "");
+      };
+    const bool proof = !used || cls == std::string("member-questions");
+    EXPECT_EQ(ask("b"), proof ? 200U : 502U) << cls << used;
+    EXPECT_EQ(refusals, proof ? 2 : 1) << cls << used;
+  }
+}
+
 // ---- Closes against what still arrives -------------------------------------------------------------
 
 struct Door : Stage, net::RequestHandler {
