Send no repeat of a keyed class after its window

The window was looked at when the send was decided; a wait for a connection or a dial of up to 250 ms each came after it, and the repeat could reach an instance that would not discard it any more. Change: Send carries until when it may go out, and Conductor::maySend(), asked when a connection is there, keeps it. All that may have run is in the group of the first of it, so that one is compared. Found by reading; no play was seen to break by it. Test: KeyedClasses.* lets a repeat wait for a connection past the window; fails with the check in maySend() left out.

--- a/include/leverrelay/router.h
+++ b/include/leverrelay/router.h
@@ -258,6 +258,7 @@
   RequestId request;
   EngineId engine;
   Time until;
+  Time before = Time::max();  // nothing of it goes out from then on: a repeat might not be discarded
 };                            // attempts count from 0
 struct HoldPlace {
   RequestId request;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -192,7 +192,7 @@
 // gone.
 bool Conductor::maySend(AttemptKey key) {
   const Attempt* a = attempts_.find(key);
-  if (a == nullptr || !within(a->engine)) return false;
+  if (a == nullptr || !within(a->engine) || toModuleTime(clock_.nowMs()) >= a->before) return false;
   const Request* r = requests_.find(a->request);
   if (r == nullptr || !r->answerer || clock_.nowMs() >= r->deadlineMs) return false;
   if (r->answerer->present()) return true;
@@ -472,6 +472,7 @@
   attempt.number = static_cast<int>(r->attempts.size());
   attempt.engine = send.engine;
   attempt.sentMs = clock_.nowMs();
+  attempt.before = send.before;
   const AttemptKey key = attempts_.add(std::move(attempt));
   r->attempts.push_back(key);
   ++r->out;
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -96,6 +96,7 @@
     int number = 0;
     leverrelay::EngineId engine;
     double sentMs = 0;
+    leverrelay::Time before = leverrelay::Time::max();  // to go out
     bool opened = false;
     std::optional<Deadlines::Key> until;
   };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -664,9 +664,10 @@
     emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
   }
 
-  bool mayHaveRun(const Request& r) const {
-    return std::any_of(r.attempts.begin(), r.attempts.end(),
-                       [](const Attempt& a) { return a.writes && !a.harmless; });
+  const Attempt* mayHaveRun(const Request& r) const {  // the first that may have had its effect
+    for (const Attempt& a : r.attempts)
+      if (a.writes && !a.harmless) return &a;
+    return nullptr;
   }
 
   bool attemptOut(const Request& r) const { return !r.attempts.empty() && r.attempts.back().out; }
@@ -675,39 +676,40 @@
     return group == Group::kAll || (group == Group::kZone ? a.zone == b.zone : a.cell == b.cell);
   }
 
-  // Guards rule two for sends.
+  // Until when what may have run may go out again, as repeats of it do no harm or are discarded.
+  Time repeatsUntil(const Request& r) const {
+    const Attempt* first = mayHaveRun(r);
+    if (first == nullptr || classOf(r).effect == Effect::kSafe) return Time::max();
+    return classOf(r).effect == Effect::kKeyed ? first->sentAt + classOf(r).dedupWindow : now_;
+  }
+
+  // Guards rule two for sends: of a keyed class, all that may have run is in the group of the first of it.
   bool effectAllows(const Request& r, const Engine& e) const {
-    const ClassSettings& cls = classOf(r);
-    if (cls.effect == Effect::kSafe || !mayHaveRun(r)) return true;
-    if (cls.effect == Effect::kUnsafe) return false;
-    for (const Attempt& a : r.attempts) {
-      if (!a.writes || a.harmless) continue;
-      if (now_ - a.sentAt >= cls.dedupWindow || !sameGroup(a.engine->info, e.info, cls.group)) return false;
-    }
-    return true;
+    const Attempt* first = classOf(r).effect == Effect::kKeyed ? mayHaveRun(r) : nullptr;
+    const bool apart = first != nullptr && !sameGroup(first->engine->info, e.info, classOf(r).group);
+    return now_ < repeatsUntil(r) && !apart;
   }
 
   // Guards rule two for refusals, which tell the client that a repeat is harmless.
   bool mayRefuse(const Request& r) const {
-    const ClassSettings& cls = classOf(r);
-    if (cls.effect == Effect::kSafe || !mayHaveRun(r)) return true;
-    return cls.effect == Effect::kKeyed && cls.group == Group::kAll;
+    const bool everywhere = classOf(r).effect == Effect::kKeyed && classOf(r).group == Group::kAll;
+    return everywhere || repeatsUntil(r) == Time::max();
   }
 
   // The one gate for sends: rules one (nothing after the end), two, three and the attempt limits.
   bool sendTo(Request& r, Engine& e, Phase next) {
     if (r.phase == Phase::kOver || r.phase == Phase::kStreaming || now_ >= r.deadline) return false;
-    if (static_cast<int>(r.attempts.size()) >= set_.limits.maxAttempts) return false;
-    if (e.toldOff && !(&e == r.place && placeUsable(r))) return false;
-    if (attemptOut(r) || !effectAllows(r, e)) return false;
+    if (attemptOut(r) || static_cast<int>(r.attempts.size()) >= set_.limits.maxAttempts) return false;
+    if ((e.toldOff && !(&e == r.place && placeUsable(r))) || !effectAllows(r, e)) return false;
     const bool reads = next == Phase::kReading || (e.role == Role::kWriter && r.reader == nullptr);
     const double tokens = reads ? unread(r, e) : 0;
     e.readTokens += tokens;
+    const Time before = repeatsUntil(r);
     r.attempts.push_back({&e, now_, e.role != Role::kReader, tokens, r.home == &e});
     r.phase = next;
     r.pinned = true;  // whatever the role: a mixed engine that times out may leave its own reading held
     if (e.out++ == 0) e.quietSince = now_;
-    emit(Send{r.told.request, e.info.engine, patience(r, e)});
+    emit(Send{r.told.request, e.info.engine, patience(r, e), before});
     return true;
   }
 
@@ -715,8 +717,7 @@
   void again(Request& r, Engine& failed, bool stateLives) {
     r.avoid.insert(failed.info.engine);
     const bool spent = static_cast<int>(r.attempts.size()) + (stateLives ? 1 : 2) > set_.limits.maxAttempts;
-    if (spent || retries_ < 1 || hopeless(r) || (classOf(r).effect == Effect::kUnsafe && mayHaveRun(r)))
-      return finish(r);
+    if (spent || retries_ < 1 || hopeless(r) || now_ >= repeatsUntil(r)) return finish(r);
     retries_ -= 1;
     unbook(r);
     if (stateLives) return startWrite(r);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -551,6 +551,36 @@
   }
 }
 
+// A repeat of a keyed class waits for a connection until its window, counted from the attempt that may have
+// run, is over: the instance would not know it for a repeat any more.
+TEST(KeyedClasses, SendNoRepeatThatWaitedUntilTheirWindowWasOver) {
+  for (const double waited : {150.0, 210.0}) {
+    Site site({{"m1", "both", 0}, {"m2", "both", 0}}, false);
+    auto settings = site.site.setup.settings;
+    settings.classes[1].effect = leverrelay::Effect::kKeyed;
+    settings.classes[1].group = leverrelay::Group::kAll;
+    settings.classes[1].dedupWindow = std::chrono::milliseconds(200);
+    site.engine->reconfigure(settings, fronts::platformDialect());
+    for (auto& [id, box] : site.boxes)
+      box->script = [&](StandInBox& box, StandInBox::Taken& taken) {
+        if (site.chats() > 2) streamWhole(box, taken);
+      };
+    site.post("/v1/x", platformFields("other"), "{}");  // keeps one of two connections
+    ASSERT_TRUE(site.until([&] { return site.chats() == 1; }));
+    const auto reply = site.post("/v1/x", platformFields("a"), "{}");
+    ASSERT_TRUE(site.until([&] { return site.chats() == 2; }));
+    site.engine->pool.capAt(1);
+    for (const auto& [id, box] : site.boxes)
+      for (const auto& taken : box->taken)
+        if (taken->id == "a") taken->connection->breakOff();
+    ASSERT_TRUE(site.until([&] { return site.engine->counters["calls.waited"] == 2; })) << "and its release";
+    site.pass(waited);
+    site.engine->pool.capAt(2);
+    EXPECT_EQ(site.finished(reply)->status, waited < 200 ? 200U : 503U);
+    EXPECT_EQ(site.chats(), waited < 200 ? 3 : 2);
+  }
+}
+
 // ---- Closes against what still arrives -------------------------------------------------------------
 
 struct Door : Stage, net::RequestHandler {
