Take dials that failed together for one failure, not for as many trials

Cause: a failed connection leaves an instance out at once, and each further one doubled its pause, as if it were a trial that failed (noteBad() in src/rules.cpp). Dials that were out at that moment all fail together, so four of them made 8 s of 1 s. noteGood() made that distinction already, noteBad() did not.

Change: a dial that went out before its instance was left out is no trial.

Failures.DialsThatAreOutTogether... fails without the mend.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -294,9 +294,10 @@
     return std::max(kEjectAt, best * kEjectTimes);
   }
 
-  // Fast failures make an engine look idle, so they count against it whatever they say.
-  void noteBad(Engine& e, const char* why, bool certain) {
+  // Fast failures make an engine look idle. Dials that were out as it was left out are no trials that failed.
+  void noteBad(Engine& e, Time sentAt, const char* why, bool certain) {
     e.fails.add(1);
+    if (e.ejected && certain && sentAt < e.ejectedAt) return;
     if (e.ejected || certain || e.fails.mean() > failsAllowed(e)) eject(e, why, certain ? 1 : kGoodTrials);
   }
 
@@ -660,7 +661,7 @@
     const bool swallowed = a.overtaken >= kOvertaken && (longOut || !a.writes);
     if ((!swallowed && !(longOut && silent(*a.engine))) || !anotherFor(r, *a.engine)) return;
     a.calledOff = true;
-    noteBad(*a.engine, "silent", false);
+    noteBad(*a.engine, a.sentAt, "silent", false);
     emit(Cancel{r.told.request, static_cast<int>(r.attempts.size()) - 1});
   }
 
@@ -896,11 +897,11 @@
     reads_.add(shows ? 1 : 0, now_, kJamMemory);
     timely_.add(shows && outcome == Outcome::kRead && now_ < r.aim ? 1 : 0, now_, kJamMemory);
     if (outcome == Outcome::kRead) noteGood(e, a.sentAt);
-    if (outcome == Outcome::kError) noteBad(e, "errors", false);
-    if (outcome == Outcome::kTimeout) noteBad(e, "no answers", false);
-    if (outcome == Outcome::kNoConnection) noteBad(e, "no connection", true);
+    if (outcome == Outcome::kError) noteBad(e, a.sentAt, "errors", false);
+    if (outcome == Outcome::kTimeout) noteBad(e, a.sentAt, "no answers", false);
+    if (outcome == Outcome::kNoConnection) noteBad(e, a.sentAt, "no connection", true);
     // One stream that breaks is no sign of the next: an engine that is gone refuses the next connection.
-    if (outcome == Outcome::kConnectionLost && !a.calledOff) noteBad(e, "lost connections", false);
+    if (outcome == Outcome::kConnectionLost && !a.calledOff) noteBad(e, a.sentAt, "lost connections", false);
     if (outcome == Outcome::kFull && !ended.stateGone)
       e.refuses[callerOf(r)] = now_ + scaled(classOf(r).aim, kRefusedAims);  // others may find room
     a.harmless = outcome == Outcome::kNoConnection || outcome == Outcome::kNotSent ||
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -912,5 +912,21 @@
   EXPECT_EQ(play(), play());
 }
 
+// A moment without connections fails whatever is out at once: one failure, not one for each that doubles the
+// pause again.
+TEST(Failures, DialsThatAreOutTogetherLeaveAnEngineOutForOnePause) {
+  Settings s = plainSettings();
+  s.limits.maxAttempts = 2;
+  Fleet fleet(s);
+  fleet.list({engine("r", kReader), engine("w", kWriter)});
+  const std::vector<std::string> ids{"a", "b", "c", "d"};
+  for (const std::string& id : ids)
+    EXPECT_EQ(fleet.arrive(id).wait(5ms).end(id, "r", Outcome::kRead).sentTo(), "w");
+  fleet.wait(250ms);
+  for (const std::string& id : ids) EXPECT_TRUE(fleet.end(id, "w", Outcome::kNoConnection).any<Refuse>());
+  EXPECT_FALSE(fleet.wait(900ms).arrive("next").wait(5ms).end("next", "r", Outcome::kRead).any<Send>());
+  EXPECT_EQ(fleet.wait(200ms).sentTo(), "w") << "the pause of a second is over, and was not doubled";
+}
+
 }  // namespace
 }  // namespace leverrelay
