--- a/tests/settings_property_test.cpp
+++ b/tests/settings_property_test.cpp
@@ -279,6 +279,7 @@
     for (int n = 0; n < day.set.nodes; ++n) {
       Settings own = day.set;
       own.me = n;
+      own.zone = day.boxes[static_cast<std::size_t>(n)].zone;  // any that has instances
       nodes_.push_back(std::make_unique<Node>(own, policy(n), checked));
     }
     for (const ListEntry& entry : day.boxes) {
