Keep what a successor has not taken yet: streams go on here if it ends in mid-hand-over

A stream counted as handed over once its message was in the successor's queue, and both connections were closed here: a successor that was killed before it read them broke each. Its receiver now says a byte before it does anything with a message; until then this process keeps copies of both descriptors and the text, and takes the stream up itself when the other ends. Sixteen may wait so, and the rest go on here. A successor from before this says nothing, so that it gets sixteen streams and no more; one of those that it has taken would be taken up here as well if it then died.

--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -134,7 +134,8 @@
   const double now = clock.nowMs();
   if (!finishedMs_) finishedMs_ = now;
   const bool leaving = ending_.hasLeft && !ending_.hasLeft() && now < *stoppedMs_ + kLeaveMs;
-  if (boxes.releasing() > 0 || leaving || now < *finishedMs_ + kLastWordsMs) {
+  const bool cameBack = listener_->size() > 0;  // from a successor that ended with streams untaken
+  if (boxes.releasing() > 0 || leaving || cameBack || now < *finishedMs_ + kLastWordsMs) {
     deadlines.add(clock.nowMs() + 5, [this] { finish(); });
     return;
   }
@@ -236,6 +237,7 @@
   Engine::Ending ending = platformEnding(config.setup.settings);
   ending.successor = [&operations] { return operations.hasSuccessor(); };
   ending.handOver = [&operations] { operations.handOver(); };
+  ending.hasLeft = [&operations] { return !operations.handsOver(); };
   // $GW_DISCOVERY holds what counted at the start: only a change within the file says that it has moved.
   engine.run(listener, ending, [&, inFile = config.discoveryInFile]() mutable {
     const Config fresh = reread();
--- a/src/app/handover.cpp
+++ b/src/app/handover.cpp
@@ -1,7 +1,9 @@
 #include "app/handover.h"
 
+#include <fcntl.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,6 +15,8 @@
 
 // A stream opens, or its last write ends, at any time: looked at so often, far below the grace.
 constexpr double kLookMs = 10;
+// That wait for the other process: what it does not come to take stands still meanwhile, so the rest goes on.
+constexpr std::size_t kMostUnheard = 16;
 
 json binary(const std::string& bytes) { return json::binary({bytes.begin(), bytes.end()}); }
 
@@ -78,7 +82,16 @@
   tick();
 }
 
+// What the other process has not taken when it ends is taken up here again.
+void Handover::settle() {
+  for (std::size_t heard = std::min(to_->taken(), sent_.size()); heard > 0; --heard) sent_.pop_front();
+  if (to_->isOpen()) return;
+  if (!sent_.empty()) spdlog::warn("the other process has ended: {} streams go on here", sent_.size());
+  for (; !sent_.empty(); sent_.pop_front()) take(std::move(sent_.front()));
+}
+
 void Handover::tick() {
+  settle();
   if (!to_->isOpen()) return;
   for (const core::RequestKey key : engine_.conductor.streams()) {
     const auto stream = engine_.conductor.streamOf(key);
@@ -97,9 +110,13 @@
   const auto box = engine_.boxes.rest(stream->attempt);
   const fronts::Box* known = engine_.directory.find(stream->engine);
   if (!rest || !box || known == nullptr) return engine_.boxes.goOn(stream->attempt);
-  const std::string text = textOf({stream->arrival, stream->engine, known->address, *box, *rest});
-  const auto result = to_->send(text, {rest->descriptor, box->call.descriptor});
-  if (result != PassingSender::Result::kSent) return engine_.boxes.goOn(stream->attempt);
+  Passed kept{textOf({stream->arrival, stream->engine, known->address, *box, *rest}), {}};
+  for (const int descriptor : {rest->descriptor, box->call.descriptor})
+    kept.descriptors.emplace_back(::fcntl(descriptor, F_DUPFD_CLOEXEC, 0));
+  const bool may = sent_.size() < kMostUnheard && kept.descriptors[0] && kept.descriptors[1];
+  if (!may || to_->send(kept.bytes, {rest->descriptor, box->call.descriptor}) != PassingSender::Result::kSent)
+    return engine_.boxes.goOn(stream->attempt);
+  sent_.push_back(std::move(kept));
   ++engine_.counters["streams.handed_over"];
   engine_.boxes.leave(stream->attempt);
   front_.leave(*client);
--- a/src/app/handover.h
+++ b/src/app/handover.h
@@ -2,6 +2,7 @@
 // where both run beside each other on one machine.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,8 @@
 
   // From now on every stream that is open, or opens, goes to the process that receives under this name.
   void begin(const std::string& folder, const std::string& name);
+  // Streams that were handed over and that the other process has not taken yet: they come back if it ends.
+  std::size_t unheard() const { return sent_.size(); }
   // A stream from another process. One that cannot be taken over breaks, and its client asks for the rest.
   void take(Passed passed);
 
@@ -39,7 +42,10 @@
   Engine& engine_;
   fronts::Front& front_;
   net::Listener& listener_;
+  void settle();
+
   std::unique_ptr<PassingSender> to_;
+  std::deque<Passed> sent_;  // with descriptors of this process's own
   std::optional<core::Deadlines::Key> next_;
 };
 
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -46,6 +46,7 @@
   bool hasSuccessor();
   // Streams that are open go to that process from now on.
   void handOver();
+  bool handsOver() const { return handover_.unheard() > 0; }  // and might have to go on with it
 
   Done ready() override;
   Done exclude(const std::string& id) override;
--- a/src/app/passing.cpp
+++ b/src/app/passing.cpp
@@ -116,6 +116,8 @@
       }
       // Cut off, it means nothing; its descriptors close here.
       if ((message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0) continue;
+      // Before anything is done with it: whoever sent it keeps it until then. Who has ended needs no word.
+      [[maybe_unused]] const auto said = ::send(socket_.native_handle(), "", 1, MSG_DONTWAIT | MSG_NOSIGNAL);
       bytes.resize(static_cast<std::size_t>(count));
       passed.bytes = std::move(bytes);
       owner_->take_(std::move(passed));
@@ -190,9 +192,21 @@
     if (errno == EINTR) continue;
     // Also too many descriptors on their way: the other process takes them as it gets to run.
     const bool full = errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOBUFS || errno == ETOOMANYREFS;
-    if (!full) socket_ = Descriptor();
-    return full ? Result::kFull : Result::kBroken;
+    return full ? Result::kFull : Result::kBroken;  // what it had taken before can still be read
   }
 }
 
+std::size_t PassingSender::taken() {
+  std::size_t count = 0;
+  char word = 0;
+  while (isOpen()) {
+    const auto got = ::recv(socket_.get(), &word, 1, MSG_DONTWAIT);
+    if (got > 0) ++count;
+    else if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    // A reset is told once, and ahead of the words that came before it.
+    else if (got == 0 || (errno != EINTR && errno != ECONNRESET)) socket_ = Descriptor();
+  }
+  return count;
+}
+
 }  // namespace dahliastall::app
--- a/src/app/passing.h
+++ b/src/app/passing.h
@@ -62,6 +62,9 @@
   enum class Result { kSent, kFull, kBroken };
   // The other process gets copies of the descriptors; they stay open here.
   Result send(const std::string& bytes, const std::vector<int>& descriptors);
+  // How many more of those sent, in their order, the other process has taken. Not open afterwards: it is
+  // gone, and what it has not taken by then nobody has.
+  std::size_t taken();
 
  private:
   Descriptor socket_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -96,6 +96,7 @@
                    core::Deadlines& deadlines, core::Counters& counters, Options options)
     : io_(io),
       acceptor_(io),
+      protocol_(address.protocol()),
       cap_(cap),
       handler_(handler),
       clock_(clock),
@@ -239,7 +240,7 @@
 std::shared_ptr<ClientConnection> Listener::adopt(const ClientConnection::Rest& rest) {
   boost::asio::ip::tcp::socket socket(io_);
   boost::system::error_code error;
-  socket.assign(address().protocol(), rest.descriptor, error);
+  socket.assign(protocol_, rest.descriptor, error);  // also once the door is closed
   if (error) {
     ::close(rest.descriptor);
     return nullptr;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -82,6 +82,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp protocol_;
   std::size_t cap_;
   RequestHandler& handler_;
   const core::Clock& clock_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -813,8 +813,8 @@
     e.info = entry;
     e.role = set_.kinds[entry.kind.value].role;
     for (int i = 0; fresh && i < kNewIsGood; ++i) e.fails.add(0);
-    if (fresh || restarted) e.coldFilled = now_;
-    if (fresh || restarted) e.coldTokens = std::min(1.0, drawOf(salt_, it->first.value) + 1.0 / set_.nodes);
+    const double first = std::min(1.0, drawOf(salt_, it->first.value) + 1.0 / set_.nodes);
+    if (fresh || restarted) std::tie(e.coldFilled, e.coldTokens) = std::pair(now_, first);
     if (restarted) trust(e);
     if (entry.presence == Presence::kActive) e.toldOff.reset();
     else tellOff(e, entry.presence);
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -409,6 +409,29 @@
   EXPECT_TRUE(stage.until([&] { return done; }));
 }
 
+// A second SIGTERM: the door closes when the first one said, and the end is told once.
+TEST(Successor, ADrainThatIsAskedForAgainChangesNothing) {
+  Clients stage;
+  RawPeer client(stage.io);
+  client.connect(stage.listener.address());
+  client.write(kAsk);
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 1; }));
+  int first = 0, second = 0;
+  stage.listener.drain(500, [&] { ++first; });
+  stage.pass(400);
+  stage.listener.drain(0, [&] { ++second; });
+  RawPeer late(stage.io);
+  late.connect(stage.listener.address());
+  late.write(kAsk);
+  ASSERT_TRUE(stage.until([&] { return stage.asked.size() == 2; }));
+  stage.listener.drain(500, [&] { ++second; });
+  stage.pass(101);
+  EXPECT_FALSE(stage.listener.isOpen());
+  for (const auto& asked : stage.asked) asked->answer(200, {}, "");
+  ASSERT_TRUE(stage.until([&] { return client.ended() && late.ended() && first == 1; }));
+  EXPECT_EQ(second, 0);
+}
+
 // Who connected in the last moment may send in pieces: it has the time to.
 TEST(Successor, ARequestInPiecesOnAConnectionOfTheLastMomentIsServed) {
   Clients stage;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -8,6 +8,7 @@
 #include "app/handover.h"
 #include "app/operations.h"
 #include "support/program.h"
+#include "support/site.h"
 
 namespace dahliastall {
 namespace {
@@ -136,6 +137,92 @@
   ::close(pipe[1]);
 }
 
+// ---- A successor that is slow, or ends ----------------------------------------------------------------
+
+// Streams under way here, and a process to pass them to whose loop runs only when the test says so.
+struct Passes : Site {
+  Passes() : Site(kMixed, false) {
+    for (auto& [id, box] : boxes) box->script = beginOnly;
+  }
+  void open(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i)
+      replies.push_back(post("/v1/chat/completions", platformFields("s" + std::to_string(i)), "{}"));
+    ASSERT_TRUE(until([&] {
+      return std::all_of(replies.begin(), replies.end(),
+                         [](const auto& reply) { return reply->text.find("first") != std::string::npos; });
+    }));
+  }
+  void pass() {
+    Site::pass(10);
+    for (int i = 0; i < 10; ++i) {
+      io.restart();
+      io.poll();
+    }
+  }
+  std::size_t handed() { return engine->counters["streams.handed_over"]; }
+  void endAll() {
+    for (const auto& [id, box] : boxes)
+      for (const auto& taken : box->taken)
+        if (!std::exchange(taken->gone, true)) {
+          taken->connection->pass(eventOf("second") + kLastEvents);
+          taken->connection->endStream();
+        }
+  }
+  std::size_t whole() const {
+    return static_cast<std::size_t>(std::count_if(replies.begin(), replies.end(), [](const auto& reply) {
+      return reply->whole && reply->text.find("second") != std::string::npos;
+    }));
+  }
+  Folder folder;
+  std::vector<std::shared_ptr<Reply>> replies;
+};
+
+TEST(HandedStream, GoesOnHereIfItsSuccessorEndsBeforeItTookIt) {
+  Passes site;
+  site.open(3);
+  boost::asio::io_context never;
+  auto successor = std::make_unique<app::PassingReceiver>(never, site.folder.path, "in", [](app::Passed) {});
+  app::Handover handover(*site.engine, *site.front, *site.listener);
+  handover.begin(site.folder.path, "in");
+  while (site.handed() < 3) site.pass();
+  EXPECT_EQ(handover.unheard(), 3U);
+  site.endAll();  // while nobody reads it
+  site.pass();
+  EXPECT_EQ(site.whole(), 0U);
+  successor.reset();
+  ASSERT_TRUE(site.until([&] {
+    site.pass();
+    return site.whole() == 3;
+  }));
+  EXPECT_EQ(handover.unheard(), 0U);
+  EXPECT_EQ(site.chats(), 3);
+}
+
+TEST(HandedStream, WaitsForASlowSuccessorWhileTheOthersGoOnHere) {
+  Passes site;
+  site.open(20);
+  Site next(kMixed, false);
+  app::Handover takes(*next.engine, *next.front, *next.listener);
+  app::PassingReceiver receiver(next.io, site.folder.path, "in",
+                                [&](app::Passed passed) { takes.take(std::move(passed)); });
+  app::Handover handover(*site.engine, *site.front, *site.listener);
+  handover.begin(site.folder.path, "in");
+  for (int i = 0; i < 20; ++i) site.pass();
+  EXPECT_EQ(site.handed(), 16U);
+  site.endAll();
+  ASSERT_TRUE(site.until([&] {
+    site.pass();
+    return site.whole() == 4;
+  }));
+  EXPECT_EQ(handover.unheard(), 16U);
+  ASSERT_TRUE(next.until([&] {  // it comes to run, and then the other
+    site.pass();
+    return site.whole() == 20;
+  }));
+  EXPECT_EQ(handover.unheard(), 0U);
+  EXPECT_EQ(next.engine->counters["streams.taken_over"], 16U);
+}
+
 // ---- Two processes -----------------------------------------------------------------------------------
 
 // Discovery as the platform has it: one watch, which says what there is and then nothing.
@@ -317,6 +404,100 @@
   EXPECT_EQ(platform.other.chats(), 1);
 }
 
+// Between two SIGTERMs a SIGHUP is taken, as what was accepted still needs the list; the stream under way
+// ends whole, and so does the process.
+TEST(Upgrade, ASecondSigtermWithASighupBeforeItChangesNothing) {
+  Platform platform;
+  StandInBox::Taken* held = nullptr;
+  for (StandInBox* box : {&platform.box, &platform.other})
+    box->script = [&](StandInBox&, StandInBox::Taken& taken) {
+      taken.connection->beginStream({{"Content-Type", "text/event-stream"}});
+      taken.connection->pass(eventOf("first"));
+      held = &taken;
+    };
+  nlohmann::json file;
+  std::ifstream(platform.folder.path + "/config.json") >> file;
+  file["settings"]["familyInfo"]["resume"] = false;  // a stream then ends where it began
+  const auto write = [&] { std::ofstream(platform.folder.path + "/config.json") << file; };
+  write();
+  const net::Endpoint door = freePort();
+  const pid_t process = platform.start(door);
+  ASSERT_TRUE(platform.ready(door));
+  RawPeer client(platform.io);
+  client.connect(platform.listen);
+  client.write(platform.ask());
+  ASSERT_TRUE(
+      platform.until([&] { return !client.ended() && client.seen.find("first") != std::string::npos; }));
+  ::kill(process, SIGTERM);
+  // The door closes for good: the process has heard the first one, whatever comes next.
+  ASSERT_TRUE(platform.until([&] {
+    RawPeer probe(platform.io);
+    try {
+      probe.connect(platform.listen);
+    } catch (const boost::system::system_error&) {
+      return true;
+    }
+    return false;
+  }));
+  RawPeer moved(platform.io);
+  file["discovery"] = textOf(moved.address());
+  write();
+  ::kill(process, SIGHUP);
+  moved.accept();  // the reload is done
+  ::kill(process, SIGTERM);
+  ASSERT_TRUE(platform.until([&] { return moved.hasBytes(); }));
+  ASSERT_EQ(platform.call(door, "readyz"), "fail not yet\n");
+  ASSERT_NE(held, nullptr);
+  EXPECT_FALSE(held->gone);
+  held->connection->pass(eventOf("second") + kLastEvents);
+  held->connection->endStream();
+  ASSERT_TRUE(platform.until([&] { return client.ended(); }));
+  EXPECT_TRUE(whole(client.seen)) << client.seen;
+  EXPECT_NE(client.seen.find("second"), std::string::npos);
+  EXPECT_EQ(platform.endOf(process), 0);
+}
+
+// The successor is stopped as the streams come to it, and killed: the process that ends goes on with them.
+TEST(Upgrade, ASuccessorThatIsStoppedAndKilledInMidHandOverBreaksNoStream) {
+  Platform platform;
+  std::vector<StandInBox::Taken*> held;
+  for (StandInBox* box : {&platform.box, &platform.other})
+    box->script = [&](StandInBox&, StandInBox::Taken& taken) {
+      taken.connection->beginStream({{"Content-Type", "text/event-stream"}});
+      taken.connection->pass(eventOf("first"));
+      held.push_back(&taken);
+    };
+  const net::Endpoint oldDoor = freePort(), newDoor = freePort();
+  const pid_t old = platform.start(oldDoor);
+  ASSERT_TRUE(platform.ready(oldDoor));
+  std::vector<std::unique_ptr<RawPeer>> clients;
+  for (std::size_t i = 0; i < 3; ++i) {
+    clients.push_back(std::make_unique<RawPeer>(platform.io));
+    clients.back()->connect(platform.listen);
+    clients.back()->write(platform.ask());
+    ASSERT_TRUE(platform.until(
+        [&] { return !clients[i]->ended() && clients[i]->seen.find("first") != std::string::npos; }));
+  }
+  const pid_t fresh = platform.start(newDoor);
+  ASSERT_TRUE(platform.ready(newDoor));
+  ::kill(fresh, SIGSTOP);
+  ::kill(old, SIGTERM);
+  ASSERT_TRUE(platform.until(
+      [&] { return platform.call(oldDoor, "telemetry").find("app_active 0\n") != std::string::npos; }));
+  platform.programs.kill(fresh);
+  for (StandInBox::Taken* taken : held) {
+    EXPECT_FALSE(taken->gone);
+    taken->connection->pass(eventOf("second") + kLastEvents);
+    taken->connection->endStream();
+  }
+  for (const auto& client : clients) {
+    ASSERT_TRUE(platform.until([&] { return client->ended() || whole(client->seen); }));
+    EXPECT_TRUE(whole(client->seen)) << client->seen;
+    client->close();
+  }
+  EXPECT_EQ(platform.endOf(old), 0);
+}
+
 TEST(Upgrade, ADoorThatCannotBeListenedOnEndsTheStartWithAReason) {
   Platform platform;
   RawPeer taken(platform.io);
