--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -17,23 +17,21 @@
 
 constexpr std::chrono::milliseconds kPulse{10};  // how often waiting work is looked at; short beside any aim
 constexpr double kKeep = 0.85;                   // say of the past at each sample: about the last seven count
-constexpr double kEjectAt = 0.35;                // share of failures from which an engine is passed over
-constexpr double kEjectTimes = 3;                // and this many times the share of its best peer
-constexpr int kGoodTrials = 3;                   // in a row before an engine that failed some is trusted
-constexpr int kNewIsGood = 3;                    // successes that a new engine is believed to have had
-constexpr int kOvertaken = 3;                    // later sends answered well ahead of one that was swallowed
-constexpr double kOvertakenTimes = 2;            // what the later one took, for its size
+constexpr double kEjectAt = 0.35, kEjectTimes = 3;  // failures to be passed over; times the best peer's
+constexpr int kGoodTrials = 3;                      // in a row before an engine that failed some is trusted
+constexpr int kNewIsGood = 3;                       // successes that a new engine is believed to have had
+constexpr int kOvertaken = 3;          // later sends answered well ahead of one that was swallowed
+constexpr double kOvertakenTimes = 2;  // what the later one took, for its size
 constexpr seconds kFirstPause{1}, kLongestPause{8};  // of an ejection; doubles with each trial that fails
 constexpr double kSilentFor = 5, kSilentAims = 0.5;  // usual answer times and least aims without any sign
 constexpr double kPriorStreams = 3;                  // own answers that count as much as an even spread does
-constexpr double kReadBound = 1.5;     // times the whole prompt's own reading that reads may wait at home
-constexpr double kLeastRead = 0.5;     // of their even share of reads that a cell's readers get at least
-constexpr double kMostRead = 1.25;     // and at most, however many writers their cell has
-constexpr double kFullMemory = 0.95;   // share of a writer's memory that counts as full
-constexpr double kOutputShare = 0.25;  // of the most an answer may have, expected in memory
-constexpr double kRoomToRead = 0.45;   // and share below which a writer may read prompts as well,
-constexpr int kWriterReads = 2;        // which takes it so many times as long as a reader,
-constexpr double kLongRead = 0.6;      // where a reader would take so much of the time to the aim,
+constexpr double kReadBound = 1.5;  // times the whole prompt's own reading that reads may wait at home
+constexpr double kLeastRead = 0.5, kMostRead = 1.25;  // of their even share that a cell's readers get
+constexpr double kFullMemory = 0.95;                  // share of a writer's memory that counts as full
+constexpr double kOutputShare = 0.25;                 // of the most an answer may have, expected in memory
+constexpr double kRoomToRead = 0.45;  // and share below which a writer may read prompts as well,
+constexpr int kWriterReads = 2;       // which takes it so many times as long as a reader,
+constexpr double kLongRead = 0.6;     // where a reader would take so much of the time to the aim,
 constexpr double kWriterSpare = 0.15, kFewNodes = 3;  // of all writers' time, unless nodes are so few;
 constexpr seconds kJamMemory{6};      // over which reads show a jam: longer than any waits in one,
 constexpr double kKnownReads = 3;     // of each reader in that time let a node know them apart; with fewer
@@ -42,17 +40,16 @@
 constexpr int kPlaceTries = 3;        // places asked for one request; a note takes little of a read
 constexpr double kRefusedAims = 2.5;  // of its class's aim that an engine's refusal is believed
 constexpr double kSpareShare = 0.6;   // of the time left that an attempt may take while a next is possible
-constexpr double kRetryShare = 0.3;   // further attempts allowed for each arrival
-constexpr double kRetryBurst = 30;    // and at once, after a calm stretch
-constexpr double kColdSafety = 0.7;   // share of the cold budget that is used where sends are counted,
-constexpr double kColdDrawn = 0.5;    // and where they are drawn: the rest is for chance and a surge to twice
-constexpr double kHoldShare = 0.6;    // of the release limit that a read state may wait for a writer
-constexpr seconds kFade{1};           // in which an estimate that nothing refreshes loses half its say,
-constexpr double kFadeArrivals = 4;   // or so many arrivals, where a node sees few, but no longer than
-constexpr seconds kLongestFade{3};    // this, as a jam passes whether or not it is looked at
-constexpr seconds kFlowMemory{20};    // over which a node's own few requests show where work goes
-constexpr double kFlowPrior = 10;     // requests that the plan counts for beside them
-constexpr double kKeyPart = 0.5;      // of a reader's share of traffic that one key may fill
+constexpr double kRetryShare = 0.3, kRetryBurst = 30;  // further attempts: an arrival; at once after calm
+constexpr double kColdSafety = 0.7;  // share of the cold budget that is used where sends are counted,
+constexpr double kColdDrawn = 0.5;   // and where they are drawn: the rest is for chance and a surge to twice
+constexpr double kHoldShare = 0.6;   // of the release limit that a read state may wait for a writer
+constexpr seconds kFade{1};          // in which an estimate that nothing refreshes loses half its say,
+constexpr double kFadeArrivals = 4;  // or so many arrivals, where a node sees few, but no longer than
+constexpr seconds kLongestFade{3};   // this, as a jam passes whether or not it is looked at
+constexpr seconds kFlowMemory{20};   // over which a node's own few requests show where work goes
+constexpr double kFlowPrior = 10;    // requests that the plan counts for beside them
+constexpr double kKeyPart = 0.5;     // of a reader's share of traffic that one key may fill
 constexpr std::size_t kKeysCounted = 500;  // whose traffic is remembered
 constexpr double kRateKept = 0.98;         // of the fastest reading seen, with each read that is slower
 constexpr double kAdvice = 0.1;            // of the longest wait that clients heed, advised with a refusal
@@ -949,8 +946,7 @@
   void on(const AlarmRang&) { pulseSet_ = false; }
 
   void on(const Stopping& stopping) {
-    stopsAt_ = stopsAt_.value_or(now_);
-    grace_ = stopping.grace;
+    std::tie(stopsAt_, grace_) = std::pair(stopsAt_.value_or(now_), stopping.grace);
   }
 
   void on(const Lapsed& lapsed) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -536,7 +536,9 @@
       fields[1].second = cls;
       return site.finished(site.post("/v1/x", fields, "{}"))->status;
     };
-    if (used) EXPECT_EQ(ask("a"), 200U);
+    if (used) {
+      EXPECT_EQ(ask("a"), 200U);
+    }
     site.pass(5);  // the connection has rested
     int refusals = 0;
     for (auto& [id, box] : site.boxes)
