--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <random>
 #include <set>
 
 #include "leverrelay/router.h"
@@ -41,22 +42,23 @@
 constexpr double kRefusedAims = 2.5;  // of its class's aim that an engine's refusal is believed
 constexpr double kSpareShare = 0.6;   // of the time left that an attempt may take while a next is possible
 constexpr double kRetryShare = 0.3, kRetryBurst = 30;  // further attempts: an arrival; at once after calm
-constexpr double kColdSafety = 0.7;  // share of the cold budget that is used where sends are counted,
-constexpr double kColdDrawn = 0.5;   // and where they are drawn: the rest is for chance and a surge to twice
-constexpr double kHoldShare = 0.6;   // of the release limit that a read state may wait for a writer
-constexpr seconds kFade{1};          // in which an estimate that nothing refreshes loses half its say,
-constexpr double kFadeArrivals = 4;  // or so many arrivals, where a node sees few, but no longer than
-constexpr seconds kLongestFade{3};   // this, as a jam passes whether or not it is looked at
-constexpr seconds kFlowMemory{20};   // over which a node's own few requests show where work goes
-constexpr double kFlowPrior = 10;    // requests that the plan counts for beside them
-constexpr double kKeyPart = 0.5;     // of a reader's share of traffic that one key may fill
+constexpr double kColdSafety = 0.7;                    // share of the cold budget that is used,
+constexpr double kColdHead = 0.5;          // and of the nodes that it covers, those that may send at once
+constexpr double kHoldShare = 0.6;         // of the release limit that a read state may wait for a writer
+constexpr seconds kFade{1};                // in which an estimate that nothing refreshes loses half its say,
+constexpr double kFadeArrivals = 4;        // or so many arrivals, where a node sees few, but no longer than
+constexpr seconds kLongestFade{3};         // this, as a jam passes whether or not it is looked at
+constexpr seconds kFlowMemory{20};         // over which a node's own few requests show where work goes
+constexpr double kFlowPrior = 10;          // requests that the plan counts for beside them
+constexpr double kKeyPart = 0.5;           // of a reader's share of traffic that one key may fill
 constexpr std::size_t kKeysCounted = 500;  // whose traffic is remembered
 constexpr double kRateKept = 0.98;         // of the fastest reading seen, with each read that is slower
 constexpr double kAdvice = 0.1;            // of the longest wait that clients heed, advised with a refusal
 constexpr double kTiny = 1e-9;             // keeps divisions by nothing apart from nothing
 constexpr seconds kAskPause{1};            // between tries to reach the list
-constexpr double kHandOverFrom = 0.6, kHandOverTo = 0.9;  // shares of a node's grace to end in: streams move
-constexpr double kLastCall = 0.93;  // between, as a peer that ended before is back; what has none is answered
+constexpr double kHandOverFrom = 0.6;  // share of the grace of a node that ends: its streams move from here,
+constexpr double kHandOverTo = 0.9;    // when a peer that ended before it is back, until here
+constexpr double kLastCall = 0.93;     // what has no stream by then gets its answer
 
 std::size_t at(Role role) { return static_cast<std::size_t>(role); }
 
@@ -180,7 +182,7 @@
 class Router::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed)
-      : set_(settings), problem_(problemWith(settings)), salt_(std::to_string(seed)) {}
+      : set_(settings), problem_(problemWith(settings)), salt_(std::to_string(seed)), random_(seed) {}
 
   void reconfigure(const Settings& settings) {
     set_ = settings;
@@ -230,34 +232,20 @@
     return age >= 1 ? 1 : std::max(set_.contract.coldFrom, age);
   }
 
-  double coldPart() const { return set_.contract.coldFrom * set_.contract.fallFactor; }
-
-  // Guards rule four with nodes that share nothing: each attempt draws at most one of the cold engines of its
-  // step, by their parts of the role's weight. So the fleet sends each that part of all that it sends,
-  // whoever sees how much, has just started, or has nowhere else to go.
-  const Engine* drawn(const Request& r, Role step) const {
-    const double all = std::max(kTiny, mostWeight_[at(step)] + mostWeight_[at(Role::kMixed)]);
-    double left = drawOf(salt_ + r.told.request.value, std::to_string(3 * r.attempts.size() + at(step)));
-    for (const auto& [id, e] : engines_) {
-      if (!listed(e) || warmShare(e) >= 1 || (e.role != step && e.role != Role::kMixed)) continue;
-      if ((left -= coldPart() * kColdDrawn * e.info.weight / all) < 0) return &e;
-    }
-    return nullptr;
-  }
-
-  // Who sees enough of what an engine gets in a window counts, others draw; one in a window is for all nodes.
-  bool coldAllows(Engine& e, const Engine* drawn) {
+  // Guards rule four: this node's part of the budget, by what an engine of its weight usually gets from it. A
+  // draw (see take) spreads first sends and lets some nodes send at once, as who sees little seldom comes by.
+  bool coldAllows(Engine& e) {
     if (warmShare(e) >= 1) return true;
+    const double window = ratio(set_.contract.fallFor, seconds(1));
     const double seen = -std::expm1(-ratio(std::max(now_ - startedAt_, set_.contract.fallFor), kFlowMemory));
-    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) *
-                         ratio(set_.contract.fallFor, kFlowMemory) / seen * e.info.weight /
-                         std::max(mostWeight_[at(e.role)], kTiny);
-    const double own = coldPart() * kColdSafety * usual;
-    const double part = own < 1 ? 1.0 / set_.nodes : own;
-    e.coldTokens = std::min(std::max(1.0, part / 4),
-                            e.coldTokens + part * ratio(now_ - e.coldFilled, set_.contract.fallFor));
+    const double usual = sends_[at(e.role)].at(now_, kFlowMemory) / ratio(kFlowMemory, seconds(1)) / seen *
+                         e.info.weight / std::max(mostWeight_[at(e.role)], kTiny);
+    const double perSecond = std::max(
+        1 / (window * set_.nodes), set_.contract.coldFrom * set_.contract.fallFactor * usual * kColdSafety);
+    e.coldTokens = std::min(std::max(1.0, perSecond * window / 4),
+                            e.coldTokens + perSecond * ratio(now_ - e.coldFilled, seconds(1)));
     e.coldFilled = now_;
-    return e.coldTokens >= 1 || (own < 1 && &e == drawn);
+    return e.coldTokens >= 1;
   }
 
   void countSend(Engine& e) {
@@ -400,14 +388,12 @@
   // sooner, as it keeps the text: a jam must not feed itself by moving keys. Who refused the class is last.
   Engine* chooseReader(Request& r) {
     const Duration bound = scaled(timeFor(r.told.promptTokens), kReadBound);
-    std::vector<Engine*> order = readersInOrder(r);
+    const std::vector<Engine*> order = readersInOrder(r);
     if (!order.empty()) r.home = order.front();
-    const Engine* cold = drawn(r, Role::kReader);
-    std::stable_partition(order.begin(), order.end(), [&](const Engine* e) { return e == cold; });
     Engine* best = nullptr;
     for (Engine* e : order) {
-      const bool room = now_ >= e->fullUntil && (e->role == Role::kReader || !full(*e));
-      if (!room || !fit(*e) || r.avoid.count(e->info.engine) != 0 || !coldAllows(*e, cold)) continue;
+      if (!fit(*e) || r.avoid.count(e->info.engine) != 0 || now_ < e->fullUntil || !coldAllows(*e)) continue;
+      if (e->role == Role::kMixed && full(*e)) continue;
       auto worth = [&](const Engine& x) { return std::make_tuple(refuses(r, x), readTime(r, x)); };
       if (best != nullptr && worth(*e) >= worth(*best)) continue;
       best = e;
@@ -457,13 +443,12 @@
   // Fewest own streams for its size; nodes break ties differently, so that they do not herd.
   Engine* leastLoaded(const Request& r, std::optional<CellIndex> cell) {
     Engine* best = nullptr;
-    const Engine* cold = drawn(r, Role::kWriter);
     auto worth = [&](const Engine& e) {
-      return std::make_tuple(full(e), refuses(r, e), &e != cold, load(e), hashOf(salt_, e.info.engine.value));
+      return std::make_tuple(full(e), refuses(r, e), load(e), hashOf(salt_, e.info.engine.value));
     };
     for (auto& [id, e] : engines_) {
-      const bool far = cell && (e.role == Role::kMixed || e.info.cell != *cell) && &e != cold;
-      if (e.role == Role::kReader || far || !fit(e) || r.avoid.count(id) != 0 || !coldAllows(e, cold))
+      if (e.role == Role::kReader || (cell && (e.role == Role::kMixed || e.info.cell != *cell)) || !fit(e) ||
+          r.avoid.count(id) != 0 || !coldAllows(e))
         continue;
       if (best == nullptr || worth(e) < worth(*best)) best = &e;
     }
@@ -541,8 +526,9 @@
     r.phase = Phase::kRead;
     Engine* writer = placeUsable(r) ? r.place : chooseWriter(r);
     if (writer == nullptr) return;  // pump() tries again or lets go
+    const bool prepaid = writer == r.place;
     book(r, *writer);
-    if (sendTo(r, *writer, Phase::kWriting) && writer != r.place) countSend(*writer);  // a place is counted
+    if (sendTo(r, *writer, Phase::kWriting) && !prepaid) countSend(*writer);
   }
 
   // ---- 5 Admission ---------------------------------------------------------------------------------
@@ -810,8 +796,10 @@
     e.info = entry;
     e.role = set_.kinds[entry.kind.value].role;
     for (int i = 0; fresh && i < kNewIsGood; ++i) e.fails.add(0);
-    const double first = std::min(1.0, drawOf(salt_, it->first.value) + 1.0 / set_.nodes);
-    if (fresh || restarted) std::tie(e.coldFilled, e.coldTokens) = std::pair(now_, first);
+    if (fresh || restarted) e.coldFilled = now_;
+    const double head = kColdHead * set_.contract.coldFrom * set_.contract.fallFactor * kColdSafety;
+    if (fresh || restarted)
+      e.coldTokens = std::min(1.0, head + std::uniform_real_distribution<>(0, 1)(random_));
     if (restarted) trust(e);
     if (entry.presence == Presence::kActive) e.toldOff.reset();
     else tellOff(e, entry.presence);
@@ -1045,8 +1033,9 @@
   std::map<std::string, Flow> keyFlow_;                    // arrivals of a key
   double readRate_ = 0;                                    // unread tokens a microsecond where nothing waits
   double held_ = 0, streams_ = 0, retries_ = kRetryBurst;  // own answers' tokens, and how many; spare retries
-  Flow arrivals_, sends_[3], writerReads_;                 // sends by role; tokens sent to be read by writers
-  Flow reads_, timely_;                                    // reads that ended, and those of them in time
+  std::mt19937_64 random_;
+  Flow arrivals_, sends_[3], writerReads_;  // sends by role; tokens sent to be read by writers
+  Flow reads_, timely_;                     // reads that ended, and those of them in time
   std::array<double, 3> weight_{}, mostWeight_{}, count_{};  // by role: listed, the most ever, how many
   std::map<RequestId, Request> requests_;
   std::optional<Time> askAgainAt_, stopsAt_;
