--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -62,6 +62,17 @@
     EXPECT_TRUE(until([&] { return chats() == 1 && places(id) == 1; }));
     return reply;
   }
+  // One that is served while the call for its place has no answer.
+  std::shared_ptr<Reply> servedWithItsPlaceOut() {
+    for (auto& [name, box] : boxes) box->places = false;
+    const auto reply = reading();
+    for (auto& [name, box] : boxes) box->script = streamWhole;
+    for (const auto& [name, box] : boxes)
+      for (const auto& taken : box->taken)
+        if (taken->target == "/v1/chat/completions") answerRead(*box, *taken);
+    finished(reply);
+    return reply;
+  }
   int places(const std::string& id) const { return all("POST", "/bootstrap/rooms/" + id); }
   int releases(const std::string& id = "a") const { return all("DELETE", "/bootstrap/rooms/" + id); }
   int all(const std::string& method, const std::string& target) const {
@@ -190,13 +201,7 @@
 // The same where nothing was to be released at first: the request is served, and its place call was late.
 TEST(Releases, FollowADoubtfulPlaceOfARequestThatIsServed) {
   Held held;
-  for (auto& [name, box] : held.boxes) box->places = false;
-  const auto reply = held.reading();
-  for (auto& [name, box] : held.boxes) box->script = streamWhole;
-  for (const auto& [name, box] : held.boxes)
-    for (const auto& taken : box->taken)
-      if (taken->target == "/v1/chat/completions") answerRead(*box, *taken);
-  held.finished(reply);
+  const auto reply = held.servedWithItsPlaceOut();
   ASSERT_TRUE(reply->whole);
   EXPECT_EQ(held.releases(), 0);
   held.placeCall().connection->answer(204, {}, "");
@@ -335,13 +340,7 @@
 // SIGTERM: the program ends no sooner than a call for a place is decided, and what came of it let go.
 TEST(Releases, KeepTheProgramWhileAPlaceIsOut) {
   Held held;
-  for (auto& [name, box] : held.boxes) box->places = false;
-  const auto reply = held.reading();
-  for (auto& [name, box] : held.boxes) box->script = streamWhole;
-  for (const auto& [name, box] : held.boxes)
-    for (const auto& taken : box->taken)
-      if (taken->target == "/v1/chat/completions") answerRead(*box, *taken);
-  held.finished(reply);
+  held.servedWithItsPlaceOut();
   held.settle();
   EXPECT_GT(held.engine->boxes.releasing(), 0U);
   held.placeCall().connection->answer(409, {}, "");
