Tell whether an attempt was written by when it was

One state less: written_ followed from writtenMs_. Handover::settle() stands with the other functions. Behaviour is unchanged; the tests of releases, fronts, core and upgrades pass.

--- a/src/app/handover.h
+++ b/src/app/handover.h
@@ -36,14 +36,13 @@
   void take(Passed passed);
 
  private:
+  void settle();
   void tick();
   void hand(core::RequestKey key);
 
   Engine& engine_;
   fronts::Front& front_;
   net::Listener& listener_;
-  void settle();
-
   std::unique_ptr<PassingSender> to_;
   std::deque<Passed> sent_;  // with descriptors of this process's own
   std::optional<core::Deadlines::Key> next_;
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -43,10 +43,11 @@
   }
 
   const RequestId& request() const { return request_; }
+  bool isWritten() const { return writtenMs_ < HUGE_VAL; }
   // Until when a release beside it might take what it goes on with. A read whose bytes are not out yet has
   // nothing, however long its connection takes to come up; a write needs the state that waits for it.
   double heldBackMs() const {
-    if (writtenMs_ == HUGE_VAL && reads_) return 0;
+    if (!isWritten() && reads_) return 0;
     return writtenMs_ + boxes_.releaseWithinMs_;
   }
   void known() { known_ = true; }  // to be out at its instance
@@ -58,7 +59,7 @@
   // A stream that another process began: its head and first events have passed already.
   void takeUp(const std::string& event) {
     status_ = 200;
-    written_ = begun_ = true;
+    begun_ = true;
     writtenMs_ = boxes_.clock_.nowMs();
     gate_.see(event);
   }
@@ -67,14 +68,13 @@
 
   // A place is asked for right after the last byte of the read: before it the box knows of no read.
   void placeAt(const EngineId& engine) {
-    if (written_) boxes_.askPlace(request_, key_, engine);
+    if (isWritten()) boxes_.askPlace(request_, key_, engine);
     else place_ = engine;
   }
 
   bool ready() override { return boxes_.conductor_.maySend(key_); }
 
   void written() override {
-    written_ = true;
     writtenMs_ = boxes_.clock_.nowMs();
     if (!reads_) watchForTaking();
     boxes_.conductor_.written(key_);
@@ -185,11 +185,11 @@
   UsageReader usage_;
   EventGate gate_;
   std::optional<core::Deadlines::Key> last_, stall_, taken_;
-  double writtenMs_ = HUGE_VAL;
-  int parts_ = 0;  // in which whole events came
+  double writtenMs_ = HUGE_VAL;  // its last byte; until then in no time
+  int parts_ = 0;                // in which whole events came
   unsigned status_ = 0;
   bool reads_;
-  bool begun_ = false, written_ = false, rejected_ = false, known_ = false, first_ = false;
+  bool begun_ = false, rejected_ = false, known_ = false, first_ = false;
 };
 
 // ---- Places, releases and probes -------------------------------------------------------------------
