--- a/src/app/conductor_app.cpp
+++ b/src/app/conductor_app.cpp
@@ -169,7 +169,8 @@
       net::LineDoor::LaterAnswer([&operations](std::string_view line, net::LineDoor::Reply reply) {
         control::handle(operations, line, std::move(reply));
       }),
-      engine.clock, engine.deadlines, engine.counters, net::LineDoor::Limits{});
+      engine.clock, engine.deadlines, engine.counters,
+      net::LineDoor::Limits{.lineBytes = control::kLongestPlanLine});
   door->accountTo(engine.ledger);
   return door;
 }
--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+static_assert(control::kLongestPlanLine >= Plan::kMostBoxes * (Plan::kLongestWord + 1));
 constexpr int kTries = 3;          // to write an operator's word, if others write at the same moment
 constexpr double kTurnMs = 20;     // between looks whether all is let go of
 constexpr std::size_t kBeats = 6;  // that a conductor speaks within the time after which it counts as silent
--- a/src/app/shared_folder.cpp
+++ b/src/app/shared_folder.cpp
@@ -11,11 +11,13 @@
 #include <memory>
 #include <utility>
 
+#include "fleet/marks.h"
+
 namespace dahliastall::app {
 
 namespace {
 
-constexpr std::size_t kLargestFile = 1 << 20;  // far above what marks can need
+constexpr std::size_t kLargestFile = fleet::Marks::kLargestText;
 
 std::string plainName(std::string name) {
   std::replace_if(
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -23,6 +23,11 @@
   }
 }
 
+std::size_t longestOf(std::string_view text) {
+  const std::size_t from = std::min(text.find_first_not_of(" \t"), text.size());
+  return text.substr(from).rfind("maintenance ", 0) == 0 ? kLongestPlanLine : kLongestLine;
+}
+
 // A label's value in quotes, as the exposition format of such figures wants it.
 std::string quoted(const std::string& text) {
   std::string out = "\"";
@@ -57,8 +62,8 @@
 }
 
 std::string answer(Service& service, std::string_view text) {
-  if (text.size() > kLongestLine)
-    return line({false, "a line has at most " + std::to_string(kLongestLine) + " bytes"});
+  if (text.size() > longestOf(text))
+    return line({false, "a line has at most " + std::to_string(longestOf(text)) + " bytes"});
   const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
     const auto byte = static_cast<unsigned char>(c);
     return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
@@ -100,7 +105,7 @@
 }
 
 void handle(Service& service, std::string_view text, std::function<void(std::string)> reply) {
-  const bool plain = text.size() <= kLongestLine;
+  const bool plain = text.size() <= longestOf(text);
   const std::vector<std::string> words = plain ? wordsOf(text) : std::vector<std::string>();
   if (words.size() < 2 || words.front() != "maintenance" || words[1] == "show")
     return reply(answer(service, text));
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -45,6 +45,8 @@
 };
 
 constexpr std::size_t kLongestLine = 1024;
+// A plan may name each instance that there can be, at the longest of ids.
+constexpr std::size_t kLongestPlanLine = kLongestLine + 1024 * (128 + 1);
 
 // One line, without its end, to the whole text of the answer. A line that is not understood changes nothing.
 std::string answer(Service& service, std::string_view line);
--- a/src/coordination/etcd_store.cpp
+++ b/src/coordination/etcd_store.cpp
@@ -18,8 +18,10 @@
 
 constexpr std::size_t kConnections = 8;
 constexpr double kIdleMs = 10'000;
-constexpr std::size_t kAnswerBytes = 8 << 20;  // above all documents at their largest, in base64
-constexpr std::size_t kMostCalls = 64;         // open at a time; more are told at once that there is no room
+// Of all documents, in base64: a third above their bytes, which conductors keep to. At most two copies of it
+// are held at a time, as text, as JSON or as documents: 96 MiB of the 192 that a conductor has.
+constexpr std::size_t kAnswerBytes = 48 << 20;
+constexpr std::size_t kMostCalls = 64;  // open at a time; more are told at once that there is no room
 
 namespace base64 = boost::beast::detail::base64;
 
@@ -121,7 +123,7 @@
     return true;
   }
   void done() override {
-    json value = json::parse(text_, nullptr, /*allow_exceptions=*/false);
+    json value = json::parse(std::exchange(text_, {}), nullptr, /*allow_exceptions=*/false);
     if (status_ == 200 && value.is_object()) return end(std::move(value), "etcd.answered");
     end(std::nullopt, "etcd.errors");
   }
@@ -385,7 +387,9 @@
     Listing all;
     all.revision = number(found->value("header", json::object()), "revision");
     addTo(all, *found);
-    all.ok = true;
+    all.ok = !found->value("more", false);  // what is missing would be taken for what is not there
+    if (!all.ok) all.why = "there are more than " + std::to_string(kMostDocs) + " documents";
+    found.reset();
     answer(all);
   });
 }
--- a/src/coordination/plan.h
+++ b/src/coordination/plan.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/store.h"
+
 namespace dahliastall::coordination {
 
 inline constexpr const char* kPlanKey = "plan";
@@ -30,7 +32,7 @@
 };
 
 struct Plan {
-  static constexpr std::size_t kMostBoxes = 256;
+  static constexpr std::size_t kMostBoxes = kMostInstances;
   static constexpr std::size_t kLongestWord = 128;
 
   std::string id, by;
--- a/src/coordination/presence.cpp
+++ b/src/coordination/presence.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 constexpr const char* kForm = "dahliastall-node-1";
-constexpr std::size_t kMostOpen = 256;
 }  // namespace
 
 std::string Presence::text() const {
@@ -28,7 +27,7 @@
     said.plan = whole.at("plan").get<std::string>();
     said.steps = whole.at("steps").get<std::uint64_t>();
     said.open = whole.at("open").get<std::map<std::string, std::uint64_t>>();
-    if (said.open.size() > kMostOpen) return std::nullopt;
+    if (said.open.size() > kMostInstances) return std::nullopt;
     return said;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/coordination/records.cpp
+++ b/src/coordination/records.cpp
@@ -86,12 +86,14 @@
 }
 
 bool acceptable(const std::vector<Write>& writes) {
-  if (writes.empty() || writes.size() > kMostDocs) return false;
+  if (writes.empty() || writes.size() > kMostWrites) return false;
+  std::size_t bytes = 0;
   for (const Write& write : writes) {
     if (write.key.empty() || write.key.size() > kLongestKey) return false;
     if (write.value && write.value->size() > kMostValueBytes) return false;
+    bytes += 2 * write.key.size() + (write.value ? write.value->size() : 0);
   }
-  return true;
+  return bytes <= kMostChangeBytes;
 }
 
 }  // namespace dahliastall::coordination
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -14,9 +14,20 @@
 
 namespace dahliastall::coordination {
 
-constexpr std::size_t kMostValueBytes = 64 * 1024;
-constexpr std::size_t kMostDocs = 1024;
+// What a fleet may have. All tables that are kept by conductor or by instance reach to these; the sizes of
+// texts and of the store follow from them (docs/design/bounds.md).
+constexpr std::size_t kMostConductors = 1024;
+constexpr std::size_t kMostInstances = 1024;
+
 constexpr std::size_t kLongestKey = 200;
+// Of one change: etcd takes 1.5 MiB and 128 conditions as it comes; a fence needs two of these.
+constexpr std::size_t kMostChangeBytes = 1536 * 1024;
+constexpr std::size_t kMostWrites = 96;
+// The largest text, with all that may be removed by the same change.
+constexpr std::size_t kMostValueBytes = kMostChangeBytes - kMostWrites * 2 * kLongestKey;
+// Each conductor's own word and part, those of its process before, and what is removed later; the plan and
+// the digest.
+constexpr std::size_t kMostDocs = 4 * kMostConductors;
 
 struct Doc {
   std::string value;
--- a/src/fleet/marks.h
+++ b/src/fleet/marks.h
@@ -26,9 +26,10 @@
 
 class Marks {
  public:
-  // Far above any site's instances: an operator's mistake in a loop must not fill memory.
+  // As many instances as there may be: an operator's mistake in a loop must not fill memory.
   static constexpr std::size_t kMost = 1024;
   static constexpr std::size_t kLongestId = 256;
+  static constexpr std::size_t kLargestText = kMost * (6 * kLongestId + 160);  // each byte of an id escaped
 
   const Mark* find(const std::string& id) const {
     const auto it = marks_.find(id);
--- a/src/shared/digest_task.cpp
+++ b/src/shared/digest_task.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-constexpr std::size_t kMostFolds = 16;  // in one step
-constexpr double kSettlePaces = 2;      // words' paces that a new holder waits before it lends
-constexpr double kLapseMargin = 1.1;    // times a loan's time: drift, and a step under way
+constexpr std::size_t kMostFolds = 64;  // in one step
+static_assert(kMostFolds < coordination::kMostWrites);
+constexpr double kSettlePaces = 2;    // words' paces that a new holder waits before it lends
+constexpr double kLapseMargin = 1.1;  // times a loan's time: drift, and a step under way
 
 }  // namespace
 
@@ -37,7 +38,7 @@
     const PartRead read = partOf(it->second.value);
     // One that lies under another's key is nobody's word.
     const bool own = read.part && read.part->key() == it->first;
-    if (!own || parts.size() >= kMostNodes) {
+    if (!own || parts.size() >= kMostOrigins) {
       note(it->first, it->second.revision,
            read.part ? (own ? Flaw::kBeyondBounds : Flaw::kForeign) : read.flaw);
       continue;
@@ -162,8 +163,7 @@
     fenceSinceMs_ = nowMs;
   }
   // Who has just become the holder has not heard yet whether anybody knows of more than the store does.
-  const double settleMs =
-      kSettlePaces * (terms_.wordMs + terms_.wordPerNodeMs * static_cast<double>(digest.heard.size()));
+  const double settleMs = kSettlePaces * terms_.paceMs(digest.heard.size());
   const bool mayLend = !terms_.guards.settleFirst ||
                        (nowMs - fenceSinceMs_ >= settleMs && digest.beat >= digest.lendsFromBeat);
   for (auto& [tenant, line] : digest.budgets) {
@@ -249,9 +249,11 @@
   lendAll(digest, parts, fence, nowMs);
   judgeBoxes(digest, parts);
   std::string text = textOf(digest);
-  // What is told to those that come back gives way before all else.
-  while (text.size() > kLargestText && !digest.folded.empty()) {
-    digest.folded.erase(digest.folded.begin());
+  // What is told to those that come back gives way, the older half first, and then what people read.
+  while (text.size() > kLargestText && (!digest.folded.empty() || !digest.total.empty())) {
+    if (digest.folded.empty()) digest.total.clear();
+    const auto half = static_cast<std::ptrdiff_t>((digest.folded.size() + 1) / 2);
+    digest.folded.erase(digest.folded.begin(), digest.folded.begin() + half);
     text = textOf(digest);
   }
   writes.insert(writes.begin(), Write{kDigestKey, revision, std::move(text)});
--- a/src/shared/node.cpp
+++ b/src/shared/node.cpp
@@ -13,7 +13,8 @@
 
 constexpr double kHurryShare =
     0.25;  // of the pace, before which no word follows another even if one is wanted
-constexpr std::size_t kMostSaid = 8;  // words whose answers are not known; older ones are taken for lost
+constexpr std::size_t kFewSights = 64;  // that a conductor may say in a fleet of any size
+constexpr std::size_t kMostSaid = 8;    // words whose answers are not known; older ones are taken for lost
 
 }  // namespace
 
@@ -159,9 +160,7 @@
   nextMs_ = nowMs;
 }
 
-double SharedNode::paceMs() const {
-  return terms_.wordMs + terms_.wordPerNodeMs * static_cast<double>(nodes_.size());
-}
+double SharedNode::paceMs() const { return terms_.paceMs(nodes_.size()); }
 
 std::optional<Write> SharedNode::next(double unixMs, double nowMs) {
   hearing_.tick(nowMs);
@@ -182,7 +181,14 @@
   // The first is the last that was taken; of those in doubt the oldest can no more be the newest.
   if (said_.size() > kMostSaid) said_.erase(said_.begin() + 1);
   writing_ = true;
-  return Write{part.key(), revision_, textOf(part)};
+  // The whole fleet's parts are read by one: its share of their bytes, for which sights give way.
+  std::string text = textOf(part);
+  while (text.size() > kAllPartsBytes / nodes() && part.sights.size() > kFewSights) {
+    const std::size_t room = part.sights.size() * (kAllPartsBytes / nodes()) / text.size();
+    keepMostTelling(part.sights, std::max(kFewSights, room));
+    text = textOf(part);
+  }
+  return Write{part.key(), revision_, std::move(text)};
 }
 
 void SharedNode::taken(std::uint64_t word, double nowMs) {
--- a/src/shared/sights.cpp
+++ b/src/shared/sights.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <tuple>
 
 namespace dahliastall::shared {
 
@@ -71,6 +72,15 @@
          it->second.goodMs > it->second.badMs;
 }
 
+void keepMostTelling(std::map<std::string, Sight>& sights, std::size_t most) {
+  if (sights.size() <= most) return;
+  std::vector<std::tuple<double, double, std::string>> least;
+  for (const auto& [box, sight] : sights) least.emplace_back(sight.bad, sight.good, box);
+  const auto end = least.begin() + static_cast<std::ptrdiff_t>(least.size() - most);
+  std::nth_element(least.begin(), end, least.end());
+  for (auto it = least.begin(); it != end; ++it) sights.erase(std::get<std::string>(*it));
+}
+
 Sight aged(const Sight& sight, double byMs, const SightTerms& terms) {
   Sight now = sight;
   now.good *= fading(byMs, terms);
--- a/src/shared/sights.h
+++ b/src/shared/sights.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "coordination/store.h"
+
 namespace dahliastall::shared {
 
 enum class Trouble : std::uint8_t { kNone, kRefused, kSilent, kFailing, kSlow };
@@ -28,7 +30,10 @@
   double mostBad = 0.5;    // share of the boxes that a witness knows; who finds more of them bad is not heard
 };
 
-constexpr std::size_t kMostBoxes = 256;
+constexpr std::size_t kMostBoxes = coordination::kMostInstances;
+
+// Leaves so many sights, those with most evidence, bad before good.
+void keepMostTelling(std::map<std::string, Sight>& sights, std::size_t most);
 
 // A conductor's own sights.
 class Sights {
--- a/src/shared/tallies.h
+++ b/src/shared/tallies.h
@@ -34,7 +34,7 @@
 // By franchisee and class, under their names: conductors may number them differently.
 using TallyKey = std::pair<std::string, std::string>;
 using Tallies = std::map<TallyKey, Tally>;
-constexpr std::size_t kMostTallies = 256;
+constexpr std::size_t kMostTallies = 1024;
 
 void addTo(Tallies& to, const Tallies& more);
 // What `now` counts beyond `before`. A count that is lower than it was says nothing: it gives 0.
--- a/src/shared/terms.h
+++ b/src/shared/terms.h
@@ -1,6 +1,7 @@
 // How shared state is kept, by an operator's file.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -34,6 +35,13 @@
   SightTerms sights;
   JudgeTerms judge;
   HearingTerms hearing;
+
+  // Between two words of a conductor. However many there are, each speaks twice before it counts as silent or
+  // as alone.
+  double paceMs(std::size_t conductors) const {
+    return std::max(wordMs, std::min(wordMs + wordPerNodeMs * static_cast<double>(conductors),
+                                     std::min(silentMs, hearing.aloneMs) / 2));
+  }
 };
 
 }  // namespace dahliastall::shared
--- a/src/shared/words.cpp
+++ b/src/shared/words.cpp
@@ -38,6 +38,23 @@
   return std::string(form) + std::string(kVersion) + sum.data() + std::string(bytes);
 }
 
+// ---- What the texts of a fleet at its bounds need, by MessagePack's longest forms ------------------------
+
+constexpr std::size_t kNumber = 9, kPlace = 3, kList = 1, kMany = 5, kWord = kLongestWord + 2;
+constexpr std::size_t kRest = 1024;  // form, sum, the names of fields, single numbers
+constexpr std::size_t kOrigin = kList + kLongestName + 2 + kNumber;
+constexpr std::size_t kTallies = kMany + kMostTallies * (kList + 2 * kWord + 7 * kNumber);
+constexpr std::size_t kAmounts = kMany + kMostTenants * (kWord + kNumber);
+constexpr std::size_t kLargestPart = kRest + kMany + kMostTenants * (kWord + kList + 6 * kNumber) + kTallies +
+                                     kMany + kMostBoxes * (kWord + kList + 4 * kNumber + 1) + kAmounts;
+constexpr std::size_t kLoans = kMany + kMostOrigins * (kList + kPlace + kNumber);
+// Without the sum of all counts, which is for people, and what is told to those that were folded: these two
+// are left out where there is no room.
+constexpr std::size_t kLeastDigest = kRest + kMany + kMostOrigins * (kOrigin + kNumber) +
+                                     kMostTenants * (kWord + kRest / 16 + 3 * kNumber + kLoans) + kTallies +
+                                     kMany + kMostBoxes * (kWord + kList + 2 * kPlace + 2 + 2 * kNumber);
+static_assert(kLargestPart <= kLargestText && kLeastDigest <= kLargestText);
+
 // The value in a text of this form, or what is wrong with it.
 std::pair<Flaw, json> opened(std::string_view form, std::string_view text) {
   if (text.size() > kLargestText) return {Flaw::kTooLarge, {}};
@@ -247,7 +264,7 @@
     digest.period = anyNumber(whole.at("period"));
     digest.periodEndsMs = amount(whole.at("period_ends_ms"), 1e15);
     std::vector<Origin> nodes;
-    for (const json& one : within(whole.at("nodes"), 2 * kMostNodes)) {
+    for (const json& one : within(whole.at("nodes"), kMostOrigins)) {
       nodes.push_back(originOf(one));
       if (const std::uint64_t heard = anyNumber(one.at(2)); heard > 0) digest.heard[nodes.back()] = heard;
     }
@@ -256,7 +273,7 @@
       line.limit = count(b.at("limit"));
       line.charged = count(b.at("charged"));
       line.left = count(b.at("left"));
-      for (const json& one : within(b.at("lent"), 2 * kMostNodes)) {
+      for (const json& one : within(b.at("lent"), kMostOrigins)) {
         const std::uint64_t place = anyNumber(one.at(0));
         if (place >= nodes.size()) throw Beyond("a loan to nobody");
         line.lent[nodes[place]] = count(one.at(1));
--- a/src/shared/words.h
+++ b/src/shared/words.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/store.h"
 #include "shared/budget.h"
 #include "shared/sights.h"
 #include "shared/tallies.h"
@@ -20,10 +21,15 @@
 inline constexpr const char* kPartPrefix = "part/";
 inline constexpr const char* kDigestKey = "digest";
 
-constexpr std::size_t kMostNodes = 512;
-constexpr std::size_t kMostFolded = 256;
-constexpr std::size_t kLongestWord = 128;
-constexpr std::size_t kLargestText = 64 * 1024;
+constexpr std::size_t kMostNodes = coordination::kMostConductors;
+constexpr std::size_t kMostOrigins = 2 * kMostNodes;  // that may still spend: as many again have just ended
+constexpr std::size_t kMostFolded = kMostNodes;
+constexpr std::size_t kLongestWord = 128;  // of a franchisee, a class or an instance
+constexpr std::size_t kLongestName = 64;   // of a conductor, as a file may give it
+constexpr std::size_t kLargestText = coordination::kMostValueBytes;
+// Of all parts together: whoever makes the digest holds them as text and again as read, some five times their
+// text (tests/bounds_test.cpp), which has to stay within half of its 192 MiB.
+constexpr std::size_t kAllPartsBytes = 16 << 20;
 constexpr std::uint64_t kMostTokens = 1ULL << 50;  // of anything: what is above was not counted
 
 // What an incarnation that was folded really used of each budget.
--- /dev/null
+++ b/tests/bounds_test.cpp
@@ -0,0 +1,292 @@
+// Fleets at the bounds of docs/design/bounds.md: each part with 350 conductors and 600 instances, and with
+// 1,024 of each; what they hold is measured against the 192 MiB that a conductor has.
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+#include "control/commands.h"
+#include "coordination/maintenance.h"
+#include "coordination/sqlite_store.h"
+#include "fleet/membership.h"
+#include "leverrelay/router.h"
+#include "shared/digest_task.h"
+#include "shared/node.h"
+#include "support/live_bytes.h"
+#include "support/program.h"
+#include "support/stage.h"
+
+namespace dahliastall {
+namespace {
+
+using namespace coordination;
+
+constexpr std::size_t kMemory = 192 << 20;
+
+struct Size {
+  std::size_t conductors, instances;
+};
+void PrintTo(const Size& size, std::ostream* out) { *out << size.conductors << "x" << size.instances; }
+
+std::string instance(std::size_t i) { return "instance-" + std::to_string(1000 + i); }
+std::string conductor(std::size_t i) { return "conductor-" + std::to_string(1000 + i); }
+
+FleetBoxes boxesOf(std::size_t instances) {
+  FleetBoxes boxes;
+  for (std::size_t i = 0; i < instances; ++i)
+    boxes[instance(i)] = {i % 3 == 0 ? "write" : "read", static_cast<std::uint32_t>(i / 16), true};
+  return boxes;
+}
+
+leverrelay::ListEntry entryOf(const std::string& id, std::size_t cell = 0) {
+  leverrelay::ListEntry entry{};
+  entry.engine = {id};
+  entry.cell = {static_cast<std::uint32_t>(cell)};
+  entry.presence = leverrelay::Presence::kActive;
+  entry.weight = 1;
+  return entry;
+}
+
+struct Fleet : ::testing::TestWithParam<Size> {
+  std::size_t conductors = GetParam().conductors, instances = GetParam().instances;
+};
+INSTANTIATE_TEST_SUITE_P(OfManySizes, Fleet,
+                         ::testing::Values(Size{350, 600}, Size{kMostConductors, kMostInstances}));
+
+// All conductors speak; one makes the digest of all, and every one of them can read it and finds itself, its
+// loans and the bad instances in it, within the bytes that the store and a conductor's memory take.
+TEST_P(Fleet, SharesWhatItSawUsedAndWasLent) {
+  using namespace shared;
+  SharedTerms terms;
+  terms.budgets = {{"attiki", 1u << 30}, {"patras", 1u << 30}};
+  std::uint64_t drawn = 0, revision = 0;
+  double now = 0;
+  View view;
+  std::vector<std::unique_ptr<SharedNode>> nodes;
+  DigestTask task(
+      {"digest", 1000, 300}, [&] { return terms; }, [&] { return 1.7e12 + now; });
+  const Held each = heldBy([&] {
+    for (std::size_t i = 0; i < conductors; ++i)
+      nodes.push_back(std::make_unique<SharedNode>(
+          terms, conductor(i), [&] { return ++drawn; }, now));
+  });
+  const std::size_t every = conductors / 256 + 1;  // of them has heard of the period and so is lent something
+  const auto speak = [&] {
+    for (std::size_t i = 0; i < conductors; ++i) {
+      const auto& node = nodes[i];
+      std::map<std::string, Doc> mine;
+      for (const std::string& key : node->keys())
+        if (const auto it = view.docs.find(key);
+            it != view.docs.end() && (key != kDigestKey || i % every == 0))
+          mine[key] = it->second;
+      node->read(mine, now, now);
+      const auto write = node->next(1.7e12 + now, now);
+      ASSERT_TRUE(write && acceptable({*write}));
+      view.docs[write->key] = {*write->value, ++revision};
+      node->written({Committed::kDone, revision}, now);
+    }
+  };
+  const auto digest = [&] {
+    const auto step = task.next(view, 1, now);
+    ASSERT_TRUE(step && acceptable(step->writes));
+    view.docs[kDigestKey] = {*step->writes.front().value, ++revision};
+  };
+  speak();
+  digest();
+  now += 30'000;
+  // Each saw a quarter of the instances well, and every tenth of all badly, twice.
+  for (std::size_t i = 0; i < conductors; ++i) {
+    for (std::size_t k = i % 4; k < instances; k += 4) nodes[i]->sights().good(instance(k), now);
+    for (std::size_t k = 0; k < instances; k += 10)
+      for (int twice = 0; twice < 2; ++twice) nodes[i]->sights().bad(instance(k), Trouble::kSilent, now);
+    for (const char* tenant : {"attiki", "patras"}) nodes[i]->reserve(tenant, 100, now);
+    for (int cls = 0; cls < 4; ++cls)
+      nodes[i]->ended(i % 2 == 0 ? "attiki" : "patras", "class-" + std::to_string(cls), {},
+                      {SharedNode::Ended::How::kServed, 3, 4, 0}, now);
+  }
+  speak();
+  std::size_t texts = 0;
+  for (const auto& [key, doc] : view.docs) texts += doc.value.size();
+  EXPECT_LE(texts, kAllPartsBytes + kLargestText);
+  const auto began = std::chrono::steady_clock::now();
+  const Held holder = heldBy(digest);
+  const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
+  std::cout << conductors << " conductors, " << instances << " instances: " << texts / conductors
+            << " bytes of text a conductor, digest " << view.docs.at(kDigestKey).value.size()
+            << ", the holder at most " << holder.most / conductors << " a conductor more, a node "
+            << each.after / conductors << "; a digest took " << took.count() << " ms\n";
+  EXPECT_LE(texts + holder.most, kMemory / 2);
+  const auto read = digestOf(view.docs.at(kDigestKey).value).digest;
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->heard.size(), conductors);
+  EXPECT_EQ(read->budgets.at("attiki").lent.size() + read->budgets.at("patras").lent.size(),
+            2 * ((conductors + every - 1) / every));
+  std::uint64_t served = 0;
+  for (const auto& [key, tally] : read->total) served += tally.served;
+  EXPECT_EQ(served, 4 * conductors);
+  EXPECT_EQ(read->boxes.size(), (instances + 9) / 10);
+  EXPECT_EQ(task.happened().unread.size(), 0u);
+  now += 10;
+  SharedNode& last = *nodes.back();
+  last.read({{kDigestKey, view.docs.at(kDigestKey)}}, now, now);
+  EXPECT_EQ(last.nodes(), conductors);
+  // Left out are all that are bad, but for those which the bounds keep in and the one that it is to try.
+  std::vector<std::string> names;
+  for (const auto& [origin, word] : read->heard) names.push_back(origin.name);
+  std::map<Standing, std::size_t> standings;
+  for (const auto& [id, standing] :
+       shared::standings({read->boxes, boxesOf(instances), Sights(), names, names.front(), read->beat}, now))
+    ++standings[standing];
+  EXPECT_EQ(standings[Standing::kIn], instances - (instances + 9) / 10);
+  EXPECT_GT(standings[Standing::kOut], instances / 20);
+  // However many speak, none counts as silent or as alone between two of its words.
+  EXPECT_LE(terms.paceMs(conductors), std::min(terms.silentMs, terms.hearing.aloneMs) / 2);
+  EXPECT_GE(terms.paceMs(conductors), terms.wordMs);
+}
+
+// A conductor in a large fleet that saw everything says what fits its share, what is bad first.
+TEST_P(Fleet, KeepsASharesBytesWhateverOneSaw) {
+  using namespace shared;
+  SharedNode node(
+      {}, "c", [] { return 1u; }, 0);
+  Digest digest;
+  digest.beat = 1;
+  for (std::size_t i = 0; i < conductors; ++i) digest.heard[{conductor(i), i}] = 1;
+  node.read({{kDigestKey, {textOf(digest), 1}}}, 0, 0);
+  for (std::size_t k = 0; k < instances; ++k)
+    k % 10 == 0 ? node.sights().bad(instance(k), Trouble::kSlow, 0) : node.sights().good(instance(k), 0);
+  const auto write = node.next(0, 0);
+  ASSERT_TRUE(write);
+  EXPECT_LE(write->value->size(), kAllPartsBytes / conductors);
+  const auto part = partOf(*write->value).part;
+  ASSERT_TRUE(part);
+  for (std::size_t k = 0; k < instances; k += 10) EXPECT_EQ(part->sights.count(instance(k)), 1u);
+}
+
+// A plan over every instance is written, read, and goes its way while all conductors have to hear of it.
+TEST_P(Fleet, TakesEveryInstanceOutByOnePlan) {
+  const FleetBoxes boxes = boxesOf(instances);
+  PlanCommand command;
+  command.id = std::string(Plan::kLongestWord, 'p');
+  for (const auto& [id, box] : boxes) command.boxes.push_back(id);
+  View view;
+  const PlanAnswer answer = decide(command, view, boxes, 0);
+  ASSERT_EQ(answer.problem, "");
+  ASSERT_TRUE(acceptable({*answer.write}));
+  view.docs[kPlanKey] = {*answer.write->value, 1};
+  MaintenanceTerms terms;
+  Maintenance holder(terms, [&] { return boxes; });
+  std::uint64_t revision = 1;
+  std::size_t steps = 0;
+  for (auto step = holder.next(view, 1, 0); step; step = holder.next(view, 1, 0), ++steps) {
+    ASSERT_TRUE(acceptable(step->writes));
+    view.docs[kPlanKey] = {*step->writes.front().value, ++revision};
+  }
+  const std::size_t groups = 2 * ((instances + 15) / 16);
+  EXPECT_EQ(steps, groups) << "one of each role and cell drains";
+  const Plan plan = *Plan::parse(view.docs.at(kPlanKey).value);
+  Presence said;
+  said.plan = plan.id;
+  said.steps = plan.steps;
+  for (const std::string& box : plan.drained()) said.open[box] = 0;
+  for (std::size_t i = 0; i < conductors; ++i) {
+    said.who = {conductor(i), 1};
+    said.open.begin()->second = i + 1 == conductors;
+    ASSERT_EQ(Presence::parse(said.text()), said);
+    view.docs[kNodePrefix + said.who.name] = {said.text(), ++revision};
+  }
+  ASSERT_LE(view.docs.size(), kMostDocs);
+  auto step = holder.next(view, 1, 1);
+  ASSERT_TRUE(step);
+  EXPECT_EQ(Plan::parse(*step->writes.front().value)->drained().size(), groups);
+  EXPECT_EQ(Plan::parse(*step->writes.front().value)->item(*plan.drained().begin())->state,
+            ItemState::kDraining)
+      << "the last conductor has a request open there";
+}
+
+// Every instance is marked, drained and brought back; a table that is full says so.
+TEST_P(Fleet, MarksAndDrainsEveryInstance) {
+  using namespace leverrelay;
+  fleet::Membership members(7), other(8);
+  ListNews list{1, ListForm::kFull, {}};
+  std::set<std::string> all;
+  for (std::size_t i = 0; i < instances; ++i) {
+    list.entries.push_back(entryOf(instance(i)));
+    all.insert(instance(i));
+  }
+  const Held held = heldBy([&] { EXPECT_EQ(members.told(list, 0).entries.size(), instances); });
+  std::cout << held.after / instances << " bytes an instance in the membership\n";
+  EXPECT_LE(held.after / instances, 1024u);
+  other.told(list, 0);
+  fleet::Drains drains;
+  for (const std::string& id : all) {
+    EXPECT_EQ(members.exclude(id, 1).verdict, fleet::Membership::Verdict::kDone);
+    EXPECT_EQ(drains.handle({id, "anna", id, true, 0, {}, false}, {true, 1, "read", 0}, 1).code,
+              fleet::DrainCode::kDone);
+  }
+  const std::string text = members.marks().text();
+  EXPECT_LE(text.size(), fleet::Marks::kLargestText);
+  const auto marks = fleet::Marks::parse(text);
+  ASSERT_TRUE(marks);
+  EXPECT_EQ(other.merge(*marks)->entries.size(), instances);
+  EXPECT_EQ(other.planned(all, 2)->entries.size(), instances);
+  EXPECT_EQ(other.judged(all, 2)->entries.size(), instances);
+  for (const std::string& id : all) EXPECT_TRUE(drains.stateOf(id).drained && members.excluded({id}));
+}
+
+// The module's table: what is gone for longer than a new one is cold is let go of, under ever new ids and
+// cells; what a request still names is not.
+TEST_P(Fleet, IsForgottenByTheModuleOnceItIsGone) {
+  using namespace leverrelay;
+  Settings settings;
+  settings.classes = {{}};
+  settings.kinds = {{Role::kMixed, 100'000}};
+  settings.contract.coldFor = std::chrono::seconds(13);
+  Router router(settings, 7);
+  std::vector<Action> actions;
+  Time now{};
+  std::size_t first = 0, most = 0;
+  for (int turn = 0; turn < 12; ++turn, now += std::chrono::seconds(14)) {
+    ListNews list{static_cast<std::uint64_t>(turn), ListForm::kFull, {}};
+    for (std::size_t i = 0; i < instances; ++i)
+      list.entries.push_back(entryOf(std::to_string(turn) + instance(i), turn * instances + i));
+    actions.clear();
+    const Held held = heldBy([&] { router.handle(now, std::move(list), actions); });
+    most = std::max(most, held.after);
+    if (turn == 0) first = held.after;
+    if (turn == 3) most = 0;  // the table has its size by then
+  }
+  std::cout << first / instances << " bytes an instance in the module\n";
+  EXPECT_LE(first / instances, 2048u);
+  EXPECT_LE(most, first / 4);
+}
+
+// Both documents of each conductor, and the largest texts, in a store on a disk.
+TEST_P(Fleet, FitsIntoOneFile) {
+  const Folder folder;
+  SqliteFile file(folder.path + "/shared.db", machineTime(), 1000);
+  std::vector<Write> writes{{"digest", 0, std::string(kMostValueBytes, 'd')}};
+  const auto put = [&] {
+    ASSERT_EQ(file.commit(nullptr, writes).how, Committed::kDone);
+    writes.clear();
+  };
+  put();
+  for (std::size_t i = 0; i < conductors; ++i) {
+    writes.push_back({"part/" + conductor(i) + "/1", 0, "p"});
+    writes.push_back({kNodePrefix + conductor(i), 0, "n"});
+    if (writes.size() == kMostWrites) put();
+  }
+  writes.push_back({kPlanKey, 0, std::string(kMostValueBytes, 'p')});
+  if (writes.size() > 1) std::swap(writes.front(), writes.back());
+  put();
+  const Listing all = file.list();
+  EXPECT_EQ(all.docs.size(), 2 * conductors + 2);
+  EXPECT_EQ(all.docs.count(kPlanKey), 1u);
+  EXPECT_EQ(file.commit(nullptr, {{"a", 0, std::string(kMostValueBytes, 'x')},
+                                  {"b", 0, "x"},
+                                  {"c", 0, std::string(kMostWrites * 2 * kLongestKey, 'x')}})
+                .how,
+            Committed::kRefused);
+}
+
+}  // namespace
+}  // namespace dahliastall
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -1,9 +1,12 @@
 // Both fronts on the whole program but its signals, between clients and model boxes of our own on loopback.
 #include <csignal>
+#include <iostream>
 
 #include "app/otlp.h"
+#include "coordination/store.h"
 #include "fronts/openai/derive.h"
 #include "fronts/settings_json.h"
+#include "support/live_bytes.h"
 #include "support/site.h"
 
 namespace dahliastall {
@@ -480,6 +483,20 @@
          "\n";
 }
 
+json memberOf(int i, const std::string& phase, int port, double started) {
+  return {{"id", "b" + std::to_string(i)},
+          {"host_port", "127.0.0.1:" + std::to_string(port)},
+          {"locality", "z"},
+          {"flavor", "mixed"},
+          {"cell", i / 5},
+          {"phase", phase},
+          {"up_since_ms", started}};
+}
+
+std::string lineOf(int revision, bool whole, const json& members) {
+  return json{{"revision", revision}, {"complete", whole}, {"members", members}}.dump();
+}
+
 TEST(DiscoveryWatch, KeepsTheListWhenItBreaksAndOpensTheWatchAnewWhereItStood) {
   Watching watching;
   RawPeer agent(watching.io);
@@ -644,20 +661,6 @@
   }
 }
 
-json memberOf(int i, const std::string& phase, int port, double started) {
-  return {{"id", "b" + std::to_string(i)},
-          {"host_port", "127.0.0.1:" + std::to_string(port)},
-          {"locality", "z"},
-          {"flavor", "mixed"},
-          {"cell", i / 5},
-          {"phase", phase},
-          {"up_since_ms", started}};
-}
-
-std::string lineOf(int revision, bool whole, const json& members) {
-  return json{{"revision", revision}, {"complete", whole}, {"members", members}}.dump();
-}
-
 // Guards a fleet many times bigger: long lists, thousands of changes in one line, and what settings do not
 // name.
 TEST(DiscoveryWatch, ListsOfAThousandBoxesAndThousandsOfChangesInALine) {
@@ -690,6 +693,54 @@
   }
 }
 
+// A whole list of as many instances as there may be, and then changes to all of them, through a socket: on
+// one line, and indented for people, cut anywhere.
+TEST(DiscoveryWatch, ListsOfAsManyInstancesAsThereMayBeComeOverTheWire) {
+  constexpr int kInstances = coordination::kMostInstances;
+  for (const bool indented : {false, true}) {
+    Watching watching;
+    RawPeer agent(watching.io);
+    watching.discovery.watch(agent.address());
+    agent.accept();
+    ASSERT_TRUE(watching.until([&] { return agent.hasBytes(); }));
+    agent.readSome();
+    agent.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    unsigned lists = 0;
+    const auto tell = [&](bool whole, const json& members) {
+      const std::string text =
+          json::parse(lineOf(static_cast<int>(++lists), whole, members)).dump(indented ? 4 : -1) + "\n";
+      for (std::size_t at = 0, size = 1; at < text.size(); at += size, size = size * 7 % 4099 + 1) {
+        agent.write(net::chunkOf(text.substr(at, size)));
+        watching.io.poll();
+      }
+      ASSERT_TRUE(watching.until([&] { return watching.counters["discovery.lists"] == lists; }));
+    };
+    json all = json::array(), leaving = json::array(), gone = json::array();
+    for (int i = 0; i < kInstances; ++i) {
+      all.push_back(memberOf(i, "active", 1000 + i, 0));
+      leaving.push_back(memberOf(i, "leaving", 1000 + i, 0));
+      if (i % 2 == 1) gone.push_back(memberOf(i, "left", 1000 + i, 0));
+    }
+    const Held held = heldBy([&] { tell(true, all); });
+    ASSERT_EQ(watching.directory.all().size(), static_cast<std::size_t>(kInstances));
+    std::cout << held.after / kInstances << " bytes an instance listed, at most " << held.most
+              << " while it is read\n";
+    EXPECT_LE(held.after / kInstances, 4096U);
+    EXPECT_LE(held.most, 192U << 20U >> 4U);
+    tell(false, leaving);
+    for (const auto& [id, box] : watching.directory.all())
+      ASSERT_EQ(box.presence, leverrelay::Presence::kLeaving) << id.value;
+    tell(false, gone);
+    EXPECT_EQ(watching.directory.all().size(), static_cast<std::size_t>(kInstances / 2));
+    tell(false, json::array({memberOf(3, "active", 7, 0)}));
+    EXPECT_EQ(watching.directory.find({"b3"})->address.port(), 7);
+    tell(true, all);
+    EXPECT_EQ(watching.directory.find({"b3"})->address.port(), 1003);
+    EXPECT_EQ(watching.conductor.enginesKnown(), static_cast<std::size_t>(kInstances));
+    EXPECT_EQ(watching.counters["discovery.malformed"] + watching.counters["discovery.broken"], 0U);
+  }
+}
+
 TEST(DiscoveryWatch, AListThatIsMalformedChangesNothing) {
   Watching watching;
   ASSERT_TRUE(watching.discovery.line(listOf(5, true, "active")));
--- /dev/null
+++ b/tests/support/live_bytes.h
@@ -0,0 +1,39 @@
+// Counts what a test's process holds by new: for the one source file of a binary that includes this.
+#pragma once
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdlib>
+#include <new>
+
+namespace dahliastall {
+
+inline std::size_t liveBytes = 0, mostBytes = 0;
+
+// How much more is held at the end of what is done, and at the most meanwhile.
+struct Held {
+  std::size_t after, most;
+};
+template <class Do>
+Held heldBy(const Do& what) {
+  const std::size_t before = mostBytes = liveBytes;
+  what();
+  return {liveBytes > before ? liveBytes - before : 0, mostBytes - before};
+}
+
+}  // namespace dahliastall
+
+void* operator new(std::size_t size) {
+  void* at = std::malloc(size == 0 ? 1 : size);
+  if (at == nullptr) throw std::bad_alloc();
+  dahliastall::liveBytes += malloc_usable_size(at);
+  dahliastall::mostBytes = std::max(dahliastall::mostBytes, dahliastall::liveBytes);
+  return at;
+}
+void operator delete(void* at) noexcept {
+  if (at != nullptr) dahliastall::liveBytes -= malloc_usable_size(at);
+  std::free(at);
+}
+void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
