Read, write, accept and dial through typed socket calls that survive failed system calls

Cause: results of system calls were dropped or read as answers. RequestReader::read() looked at bytes, parsed them and took them out with a recv whose result nobody saw: short or interrupted, the same bytes came back as further requests. Listener::emptyQueue() left the queue at any error but two, and never ended while ECONNABORTED lasted. A connect that this machine could not begin (EADDRNOTAVAIL, ENOBUFS ...) counted as a failed connection of the instance. Asio waits for the edge of a socket after a short write, and for that of a listener after an aborted accept, which never comes while there is room or somebody is left in the queue.

Change: src/net/socket_calls repeats what was interrupted and tells not ready, ended, broken and lack of resources apart; results must be used. RequestReader keeps count of what it read and could not take out. SendOperation writes until the socket takes no more. The listeners wait for readiness and empty their queue; a closing one tries for up to 3 s. A local fault at a dial is tried again within the dial's time and then ends as kWithdrawn, which counts against nobody.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,17 +1,15 @@
 #include "net/client_connection.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cmath>
 #include <utility>
 
 #include "net/last_answer.h"
+#include "net/send_operation.h"
+#include "net/socket_calls.h"
 #include "net/socket_input.h"
 
 namespace dahliastall::net {
@@ -84,6 +82,7 @@
 
 std::optional<ClientConnection::Rest> ClientConnection::rest() {
   if (state_ != State::kStreaming || writes_ || !waiting_.empty() || shed_) return std::nullopt;
+  if (!reader_.takeStanding(descriptor())) return std::nullopt;  // they would be read a second time there
   noteArrivals();
   return Rest{descriptor(), reader_.carried(), came_.empty() ? 0 : came_.firstMs(), keepAlive_};
 }
@@ -135,14 +134,24 @@
 
 // Guards a request, or what has been read of one, against a close without any answer.
 void ClientConnection::turnAway() {
-  sendLastAnswer(descriptor(),
-                 handler_.turnedAway(503, "room is needed for other connections", kRoomRetryMs));
+  if (!sendLastAnswer(descriptor(),
+                      handler_.turnedAway(503, "room is needed for other connections", kRoomRetryMs)))
+    owner_.answerCut();
   shut();
 }
 
+// Where this machine cannot look, a request may be there: a connection is not closed over one.
 bool ClientConnection::hasUnread() const {
-  char byte = 0;
-  return ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  if (reader_.standing() > 0) return unread() > 0;
+  std::array<char, 1> byte{};
+  const IoStatus seen = peek(descriptor(), byte).status;
+  return seen == IoStatus::kDone || seen == IoStatus::kNoResources;
+}
+
+// Of what comes next, without bytes that are read already.
+std::size_t ClientConnection::unread() const {
+  const std::size_t inSocket = unreadBytes(descriptor());
+  return inSocket - std::min(inSocket, reader_.standing());
 }
 
 bool ClientConnection::hasNextRequest() const {
@@ -157,11 +166,10 @@
 // The second question costs another call, and is needed only where bytes stand before an end.
 bool ClientConnection::present() const {
   if (state_ == State::kClosed) return false;
-  char byte = 0;
-  const auto seen = ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (seen <= 0) return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  pollfd ask{descriptor(), POLLRDHUP, 0};
-  return ::poll(&ask, 1, 0) <= 0 || (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
+  std::array<char, 1> byte{};
+  const IoStatus seen = peek(descriptor(), byte).status;
+  if (seen == IoStatus::kEnded || seen == IoStatus::kFailed) return false;
+  return seen == IoStatus::kWouldBlock || !hasPeerEnded(descriptor());
 }
 
 // ---- Reading ---------------------------------------------------------------------------------------
@@ -191,16 +199,22 @@
   boost::system::error_code error;
   const RequestReader::Progress progress = reader_.read(descriptor(), error);
   if (progress == RequestReader::Progress::kNothing) return awaitInput();
+  if (progress == RequestReader::Progress::kNoResources) return retryInput();
   if (progress == RequestReader::Progress::kFailed) return refuseInput(error);
   if (state_ == State::kIdle) startRequest();
   if (progress == RequestReader::Progress::kWhole) takeRequest();
   else awaitInput();
 }
 
+// Without readiness: the socket has it already.
+void ClientConnection::retryInput() {
+  deadlines_.add(clock_.nowMs() + kResourceRetryMs, [self = shared_from_this()] { self->onInput(); });
+}
+
 // Bytes that have come since the last look. They may have stood in this machine, with its queue of
 // connections full or this process stopped, and their client's time went on.
 void ClientConnection::noteArrivals() {
-  const std::size_t bytes = reader_.size() + reader_.carried().size() + unreadBytes(descriptor());
+  const std::size_t bytes = reader_.size() + reader_.carried().size() + unread();
   if (bytes <= came_.bytes()) return;
   const double agoMs = lastArrivalAgoMs(descriptor());
   came_.add(bytes - came_.bytes(), clock_.nowMs() - (agoMs > kUnreadMs ? agoMs : 0));
@@ -315,17 +329,19 @@
 }
 
 bool ClientConnection::readsAhead() const {
-  return shed_ || reader_.carried().size() + unreadBytes(descriptor()) >= readAheadFrom_;
+  return shed_ || reader_.carried().size() + unread() >= readAheadFrom_;
 }
 
 // With so much ahead of its turn the system may have no room for more, and for a close behind it.
 void ClientConnection::readAhead() {
   if (mayReadAhead_ == 0) return watchByClock();
+  if (!reader_.takeStanding(descriptor())) return watchByClock();
   std::array<char, kAheadSize> bytes;
-  const auto count = ::recv(descriptor(), bytes.data(), std::min(bytes.size(), mayReadAhead_), MSG_DONTWAIT);
-  if (count > 0) {
-    mayReadAhead_ -= static_cast<std::size_t>(count);
-    keepOrShed({bytes.data(), static_cast<std::size_t>(count)});
+  const IoResult got = receive(descriptor(), std::span(bytes).first(std::min(bytes.size(), mayReadAhead_)));
+  if (got.status == IoStatus::kNoResources) return watchByClock();
+  if (got.status == IoStatus::kDone) {
+    mayReadAhead_ -= got.bytes;
+    keepOrShed({bytes.data(), got.bytes});
   }
   watch();
 }
@@ -449,16 +465,18 @@
     self->slow_.reset();
     self->shut();
   });
-  boost::asio::async_write(socket_, boost::asio::buffer(writing_),
-                           [self](const boost::system::error_code& error, std::size_t) {
-                             self->writes_ = false;
-                             self->deadlines_.cancel(self->slow_);
-                             if (self->state_ == State::kClosed) return;
-                             if (error) return self->shut();
-                             if (std::exchange(self->held_, false)) self->handler_.drained(*self);
-                             self->flush();
-                             if (!self->writes_ && self->state_ == State::kFlushing) self->finished();
-                           });
+  SendOperation::start({self, &socket_}, writing_, {},
+                       [self](const boost::system::error_code& error) { self->flushed(error); });
+}
+
+void ClientConnection::flushed(const boost::system::error_code& error) {
+  writes_ = false;
+  deadlines_.cancel(slow_);
+  if (state_ == State::kClosed) return;
+  if (error) return shut();
+  if (std::exchange(held_, false)) handler_.drained(*this);
+  flush();
+  if (!writes_ && state_ == State::kFlushing) finished();
 }
 
 void ClientConnection::finished() {
@@ -503,10 +521,9 @@
 // What follows input that was refused belongs to it. True once the client has ended, or has sent too much.
 bool ClientConnection::dropInput() {
   std::array<char, kDropSize> dropped;
-  const auto count = ::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT);
-  if (count < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
-  dropped_ += static_cast<std::size_t>(count);
-  return count == 0 || dropped_ > kLingerBytes;
+  const IoResult got = receive(descriptor(), dropped);
+  dropped_ += got.bytes;
+  return got.status == IoStatus::kEnded || got.status == IoStatus::kFailed || dropped_ > kLingerBytes;
 }
 
 void ClientConnection::shut() {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -42,8 +42,9 @@
     virtual ~Owner() = default;
     virtual void closed(const std::shared_ptr<ClientConnection>& connection) = 0;
     virtual bool draining() const = 0;
-    virtual void asks(ClientConnection&) {}                            // a request of it is open
-    virtual void rests(ClientConnection&) {}                           // none is any more
+    virtual void answerCut() {}               // an answer before a close could not be written whole
+    virtual void asks(ClientConnection&) {}   // a request of it is open
+    virtual void rests(ClientConnection&) {}  // none is any more
     virtual void identified(ClientConnection&, const std::string&) {}  // a request carried this client's key
   };
 
@@ -90,12 +91,14 @@
   void read();
   void awaitInput();
   void onInput();
+  void retryInput();
   void startRequest();
   void takeRequest();
   void refuseShed();
   void readKept();
   void turnAway();
   bool hasUnread() const;
+  std::size_t unread() const;
   bool hasNextRequest() const;
   int descriptor() const;
   void noteArrivals();
@@ -113,6 +116,7 @@
   void expire(double afterMs);
   void put(std::string_view bytes);
   void flush();
+  void flushed(const boost::system::error_code& error);
   void finished();
   void part();
   void partIfQuiet();
--- a/src/net/last_answer.cpp
+++ b/src/net/last_answer.cpp
@@ -1,9 +1,9 @@
 #include "net/last_answer.h"
 
-#include <sys/socket.h>
-
 #include <array>
 
+#include "net/socket_calls.h"
+
 namespace dahliastall::net {
 
 namespace {
@@ -13,12 +13,12 @@
 
 }  // namespace
 
-void sendLastAnswer(int descriptor, std::string_view answer) {
-  [[maybe_unused]] const auto sent =
-      ::send(descriptor, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+bool sendLastAnswer(int descriptor, std::string_view answer) {
+  const bool whole = sendAvailable(descriptor, answer).status == IoStatus::kDone;
   std::array<char, kReadSize> dropped;
   for (int i = 0; i < kMostReads; ++i)
-    if (::recv(descriptor, dropped.data(), dropped.size(), MSG_DONTWAIT) <= 0) return;
+    if (receive(descriptor, dropped).status != IoStatus::kDone) break;
+  return whole;
 }
 
 }  // namespace dahliastall::net
--- a/src/net/line_server.cpp
+++ b/src/net/line_server.cpp
@@ -1,9 +1,11 @@
 #include "net/line_server.h"
 
 #include <array>
-#include <boost/asio/write.hpp>
 #include <utility>
 
+#include "net/send_operation.h"
+#include "net/socket_calls.h"
+
 namespace dahliastall::net {
 
 namespace {
@@ -72,16 +74,15 @@
 
   void write(std::string text, bool ended) {
     text_ = std::move(text);
-    boost::asio::async_write(
-        socket_, boost::asio::buffer(text_),
-        [self = shared_from_this(), ended](const boost::system::error_code& error, std::size_t) {
-          if (self->door_ == nullptr) return;
-          if (error || ended) return self->shut();
-          // Closing with input unread would reset the connection and take the answer from the caller's hands.
-          boost::system::error_code ignored;
-          self->socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-          self->read();
-        });
+    const auto self = shared_from_this();
+    SendOperation::start({self, &socket_}, text_, {}, [self, ended](const boost::system::error_code& error) {
+      if (self->door_ == nullptr) return;
+      if (error || ended) return self->shut();
+      // Closing with input unread would reset the connection and take the answer from the caller's hands.
+      boost::system::error_code ignored;
+      self->socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+      self->read();
+    });
   }
 
   LineServer* door_;  // none once closed
@@ -111,25 +112,37 @@
 }
 
 void LineServer::accept() {
-  acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (error) {
-      pause_ = deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] {
-        pause_.reset();
-        accept();
-      });
-      return;
-    }
-    // Callers that never finish hold up nobody: the first of them goes.
-    if (calls_.size() >= limits_.connections) {
-      ++counters_["door.made_room"];
-      calls_.front()->shut();
-    }
-    if (ledger_ != nullptr) ledger_->force(admission::Account::kControl);
-    calls_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
-    calls_.back()->start();
-    accept();
-  });
+  acceptor_.async_wait(boost::asio::ip::tcp::acceptor::wait_read,
+                       [this](const boost::system::error_code& error) {
+                         if (error != boost::asio::error::operation_aborted) acceptOne();
+                       });
+}
+
+void LineServer::acceptOne() {
+  const AcceptResult next = acceptNext(acceptor_.native_handle());
+  const bool waits = next.status == AcceptStatus::kNoDescriptors || next.status == AcceptStatus::kNoResources;
+  if (waits) {
+    pause_ = deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] {
+      pause_.reset();
+      accept();
+    });
+    return;
+  }
+  if (next.status == AcceptStatus::kAccepted) admit(next.descriptor);
+  accept();
+}
+
+void LineServer::admit(int descriptor) {
+  boost::asio::ip::tcp::socket socket(io_);
+  if (assign(socket, acceptor_.local_endpoint().protocol(), descriptor)) return;
+  // Callers that never finish hold up nobody: the first of them goes.
+  if (calls_.size() >= limits_.connections) {
+    ++counters_["door.made_room"];
+    calls_.front()->shut();
+  }
+  if (ledger_ != nullptr) ledger_->force(admission::Account::kControl);
+  calls_.push_back(std::make_shared<Caller>(*this, std::move(socket)));
+  calls_.back()->start();
 }
 
 }  // namespace dahliastall::net
--- a/src/net/line_server.h
+++ b/src/net/line_server.h
@@ -53,6 +53,8 @@
   class Caller;
 
   void accept();
+  void acceptOne();
+  void admit(int descriptor);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
-#include <cerrno>
 #include <vector>
 
 #include "net/last_answer.h"
@@ -20,14 +19,16 @@
 namespace {
 
 constexpr double kAcceptPauseMs = 20;  // after accept failed, as when descriptors ran out
-// After an evacuation the front layer learns within 0.1 s that it is to stop and sends for 0.2 s more: idle
-// connections are left until then, and looked at again as others fall idle.
-constexpr std::size_t kRefusals =
-    16;  // read by their clients at a time; beyond, closed right behind the answer
+constexpr std::size_t kRefusals = 16;  // read by their clients at a time; beyond, closed behind the answer
 constexpr double kRefusalMs = 300;
 constexpr double kHandshakeMs = 5;      // for handshakes that are under way as no further ones are taken
 constexpr double kFullRetryMs = 1'000;  // told to who finds no room as the door closes
 constexpr int kOnSpare = 16;            // turned away on the spare descriptor before the next pause
+constexpr int kMostAccepts = 64;        // in one turn of the loop
+constexpr int kMostAborted = 16;        // connections in a row that have gone before they were accepted
+constexpr double kQueueMs = 3'000;      // for a closing listener to take who stands in its queue
+// After an evacuation the front layer learns within 0.1 s that it is to stop and sends for 0.2 s more: idle
+// connections are left until then, and looked at again as others fall idle.
 constexpr double kFrontLearnsMs = 400, kSweepMs = 200;
 
 Address addressOf(const boost::asio::ip::tcp::endpoint& peer) {
@@ -142,48 +143,83 @@
 void Listener::accept() {
   if (accepting_ || !isOpen()) return;
   // With a gate nobody waits in the queue behind a flood: all are let in or turned away.
-  if (gate_ == nullptr && connections_.size() >= cap_) makeRoom();
-  if (gate_ == nullptr &&
-      connections_.size() >= cap_) {  // closed() accepts again, and so does time, which makes more give way
+  if (!hasRoom()) makeRoom();
+  if (!hasRoom()) {  // closed() accepts again, and so does time, which makes more give way
     deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] { accept(); });
     return;
   }
   accepting_ = true;
-  acceptor_.async_accept([this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-    accepting_ = false;
-    if (error) return failed(error);
-    admit(std::move(socket));  // also if the door has closed since: its client was let in before
-    accept();
-  });
+  // Readiness is waited for, and not a connection: an accept that meets one that has gone may leave others
+  // behind it in the queue, for which no further event comes.
+  acceptor_.async_wait(boost::asio::ip::tcp::acceptor::wait_read,
+                       [this](const boost::system::error_code& error) {
+                         if (error == boost::asio::error::operation_aborted) return;
+                         accepting_ = false;
+                         acceptSome();
+                       });
+}
+
+// What one look lets in is bounded, so that a flood of connections does not have the loop to itself.
+void Listener::acceptSome() {
+  int aborted = 0;
+  for (int taken = 0; taken < kMostAccepts && isOpen() && hasRoom(); ++taken) {
+    const AcceptResult next = acceptNext(acceptor_.native_handle());
+    if (next.status == AcceptStatus::kNoneWaiting) break;
+    if (next.status == AcceptStatus::kAccepted) {
+      admitDescriptor(next.descriptor);
+    } else if (next.status != AcceptStatus::kAborted || ++aborted > kMostAborted) {
+      return pauseAccepting(next.status);
+    }
+  }
+  accept();
 }
 
-// A client that has gone already is no failure of the listener; all others pass with time. Never a busy loop.
-void Listener::failed(const boost::system::error_code& error) {
+bool Listener::hasRoom() const { return gate_ != nullptr || connections_.size() < cap_; }
+
+// All causes pass with time. Never a busy loop.
+void Listener::pauseAccepting(AcceptStatus why) {
   if (doorClosed_) return;
-  if (error == boost::asio::error::connection_aborted || error == boost::asio::error::interrupted)
-    return accept();
   ++counters_["clients.accept_failed"];
-  if (error == boost::asio::error::no_descriptors || error.value() == ENFILE) {
+  if (why == AcceptStatus::kNoDescriptors) {
     if (ledger_ != nullptr) ledger_->ranOut(clock_.nowMs());
     turnAwayOnSpare();
   }
-  deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] { accept(); });
+  accepting_ = true;  // until then no other path tries
+  deadlines_.add(clock_.nowMs() + kAcceptPauseMs, [this] {
+    accepting_ = false;
+    accept();
+  });
+}
+
+void Listener::admitDescriptor(int descriptor) {
+  boost::asio::ip::tcp::socket socket(io_);
+  if (assign(socket, protocol_, descriptor)) {
+    ++counters_["clients.unusable"];
+    return;
+  }
+  admitOrTurnAway(std::move(socket));
+}
+
+// The spare one may not be had again at the moment in which it was given up.
+bool Listener::holdSpare() {
+  if (spare_ < 0) spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  return spare_ >= 0;
 }
 
 // Guards clients against waiting in the queue of a process that cannot take them: each is told so. False once
-// the queue is empty.
+// the queue is empty, or nobody can be taken out of it now.
 bool Listener::turnAwayOnSpare() {
   const std::string text = handler_.turnedAway(503, "no descriptor is left for another connection", 1000);
-  for (int i = 0; i < kOnSpare && spare_ >= 0; ++i) {
+  for (int i = 0; i < kOnSpare && holdSpare(); ++i) {
     ::close(std::exchange(spare_, -1));
-    const int taken = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
-    if (taken >= 0) {
+    const AcceptResult next = acceptNext(acceptor_.native_handle());
+    if (next.status == AcceptStatus::kAccepted) {
       ++counters_["admission.refused.descriptors"];
-      sendLastAnswer(taken, text);
-      ::close(taken);
+      if (!sendLastAnswer(next.descriptor, text)) answerCut();
+      ::close(next.descriptor);
     }
-    spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
-    if (taken < 0) return false;
+    holdSpare();
+    if (next.status != AcceptStatus::kAccepted && next.status != AcceptStatus::kAborted) return false;
   }
   return spare_ >= 0;
 }
@@ -209,10 +245,10 @@
   if (refusals_.size() >= kRefusals ||
       (ledger_ != nullptr && !ledger_->take(admission::Account::kRefusals))) {
     ++counters_["admission.closed_at_once"];
-    return sendLastAnswer(socket.native_handle(), text);
+    if (!sendLastAnswer(socket.native_handle(), text)) answerCut();
+    return;
   }
-  [[maybe_unused]] const auto sent =
-      ::send(socket.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sendAvailable(socket.native_handle(), text).status != IoStatus::kDone) answerCut();
   boost::system::error_code ignored;
   socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   const auto refusal = std::make_shared<Refusal>(*this, std::move(socket));
@@ -253,12 +289,7 @@
 
 std::shared_ptr<ClientConnection> Listener::adopt(const ClientConnection::Rest& rest) {
   boost::asio::ip::tcp::socket socket(io_);
-  boost::system::error_code error;
-  socket.assign(protocol_, rest.descriptor, error);  // also once the door is closed
-  if (error) {
-    ::close(rest.descriptor);
-    return nullptr;
-  }
+  if (assign(socket, protocol_, rest.descriptor)) return nullptr;  // also once the door is closed
   ++counters_["clients.adopted"];
   if (ledger_ != nullptr) ledger_->force(admission::Account::kClients);
   const auto connection =
@@ -269,28 +300,39 @@
 }
 
 // Guards clients whose connection stands in the accept queue: closing the listener would reset them. Each is
-// let in, or told that there is no room.
-void Listener::emptyQueue() {
-  boost::system::error_code error;
-  acceptor_.non_blocking(true, error);
-  while (!error) {
-    boost::asio::ip::tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error == boost::asio::error::connection_aborted || error == boost::asio::error::interrupted)
-      error = {};
-    else if (!error) admitOrTurnAway(std::move(socket));
-  }
-  const bool ranOut = error == boost::asio::error::no_descriptors || error.value() == ENFILE;
-  while (ranOut && turnAwayOnSpare()) {
+// let in, or told that there is no room. False if somebody may be left in it, as this machine lacks
+// resources.
+bool Listener::emptyQueue() {
+  int aborted = 0;
+  while (aborted <= kMostAborted) {
+    const AcceptResult next = acceptNext(acceptor_.native_handle());
+    switch (next.status) {
+      case AcceptStatus::kNoneWaiting:
+        return true;
+      case AcceptStatus::kAccepted:
+        admitDescriptor(next.descriptor);
+        break;
+      case AcceptStatus::kAborted:
+        ++aborted;
+        break;
+      case AcceptStatus::kNoDescriptors:
+        while (turnAwayOnSpare()) {
+        }
+        return false;
+      case AcceptStatus::kNoResources:
+        ++counters_["clients.accept_failed"];
+        return false;
+    }
   }
+  return false;
 }
 
 void Listener::admitOrTurnAway(boost::asio::ip::tcp::socket socket) {
-  const auto full = [this] { return gate_ == nullptr && connections_.size() >= cap_; };
-  if (full()) makeRoom();
-  if (!full()) return admit(std::move(socket));
+  if (!hasRoom()) makeRoom();
+  if (hasRoom()) return admit(std::move(socket));
   ++counters_["clients.turned_away"];
-  sendLastAnswer(socket.native_handle(), handler_.turnedAway(503, "too many connections", kFullRetryMs));
+  if (!sendLastAnswer(socket.native_handle(), handler_.turnedAway(503, "too many connections", kFullRetryMs)))
+    answerCut();
 }
 
 // At the cap a client without an open request makes room: first who never sent a whole one, then who has been
@@ -358,7 +400,12 @@
 void Listener::closeDoor() {
   if (isOpen()) {
     takeNoMore(acceptor_.native_handle());
-    emptyQueue();
+    const double now = clock_.nowMs();
+    if (!closesByMs_) closesByMs_ = now + kQueueMs;
+    if (!emptyQueue() && now < *closesByMs_) {
+      deadlines_.add(now + kResourceRetryMs, [this] { closeDoor(); });
+      return;
+    }
   }
   doorClosed_ = true;
   boost::system::error_code ignored;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -14,6 +14,7 @@
 #include "core/counters.h"
 #include "core/deadlines.h"
 #include "net/client_connection.h"
+#include "net/socket_calls.h"
 
 namespace dahliastall::net {
 
@@ -58,6 +59,7 @@
   void drain(double doorOpenMs, std::function<void()> done);
 
   void closed(const std::shared_ptr<ClientConnection>& connection) override;
+  void answerCut() override { ++counters_["answers.cut"]; }
   void asks(ClientConnection& connection) override;
   void rests(ClientConnection& connection) override;
   void identified(ClientConnection& connection, const std::string& who) override;
@@ -69,12 +71,16 @@
 
  private:
   void accept();
-  void failed(const boost::system::error_code& error);
+  void acceptSome();
+  void pauseAccepting(AcceptStatus why);
+  void admitDescriptor(int descriptor);
+  bool hasRoom() const;
+  bool holdSpare();
   void admit(boost::asio::ip::tcp::socket socket);
   void refuse(boost::asio::ip::tcp::socket socket, const admission::Decision& decision);
   bool turnAwayOnSpare();
   void letIn(boost::asio::ip::tcp::socket socket, admission::ConnectionId visitor);
-  void emptyQueue();
+  bool emptyQueue();
   void admitOrTurnAway(boost::asio::ip::tcp::socket socket);
   void sweepIdle();
   void makeRoom();
@@ -98,6 +104,7 @@
   std::set<std::shared_ptr<Refusal>> refusals_;  // being read by their clients
   int spare_ = -1;  // given up for a moment when the system has no descriptor left
   std::optional<core::Deadlines::Key> sweep_;
+  std::optional<double> closesByMs_;  // whether or not its queue is empty by then
   bool opened_ = false, accepting_ = false, draining_ = false, doorClosed_ = false, evacuated_ = false;
 };
 
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -9,10 +9,12 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <utility>
 
+#include "net/socket_calls.h"
+
 namespace dahliastall::net {
 
 namespace http = boost::beast::http;
@@ -30,8 +32,7 @@
 // For a request's last byte to follow its first. Its head tells how long its client waits as of that moment,
 // and a peer that does not read the rest would run it with that time long gone.
 constexpr double kWriteMs = 100;
-constexpr double kCancelAgainMs = 10;  // a cancel may fall between two pieces of a write, and meet neither
-constexpr std::size_t kTold = 160;     // of a message's head, with the request's id in it
+constexpr std::size_t kTold = 160;  // of a message's head, with the request's id in it
 
 // Whether bytes that were written still stand in this machine because the peer does not read them.
 bool hasUnsent(int descriptor) {
@@ -42,9 +43,17 @@
 // Whether an idle connection can carry a request: nothing came on it, its end neither, and what is written on
 // it goes out at once.
 bool quiet(boost::asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto seen = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && !hasUnsent(socket.native_handle());
+  std::array<char, 1> byte{};
+  return peek(socket.native_handle(), byte).status == IoStatus::kWouldBlock &&
+         !hasUnsent(socket.native_handle());
+}
+
+// What became of a connect() that went on by itself.
+boost::system::error_code pendingError(boost::asio::ip::tcp::socket& socket) {
+  int pending = 0;
+  socklen_t size = sizeof pending;
+  if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size) != 0) pending = errno;
+  return {pending, boost::system::system_category()};
 }
 
 }  // namespace
@@ -84,22 +93,58 @@
 
 void Call::connect() {
   state_ = State::kConnecting;
-  ++pool_.counters_["links.opened"];
   const auto self = shared_from_this();
   dial_ = pool_.deadlines_.add(pool_.clock_.nowMs() + pool_.limits_.dialMs, [self] {
     self->dial_.reset();
-    self->fail(CallFailure::kNoConnection);
+    self->fail(self->localFault_ ? CallFailure::kWithdrawn : CallFailure::kNoConnection);
   });
-  link_->socket.async_connect(to_, [self](const boost::system::error_code& error) {
-    if (self->state_ != State::kConnecting) return;
-    self->pool_.deadlines_.cancel(self->dial_);
-    if (error) return self->fail(CallFailure::kNoConnection);
-    boost::system::error_code ignored;
-    self->link_->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    self->write();
+  dial();
+}
+
+void Call::dial() {
+  ++pool_.counters_["links.opened"];
+  link_->socket.async_connect(
+      to_, [self = shared_from_this()](const boost::system::error_code& error) { self->dialed(error); });
+}
+
+// An interrupted connect() goes on by itself. What this machine could not begin is tried again while there is
+// time for it, as if the call waited in line for a connection.
+void Call::dialed(const boost::system::error_code& error) {
+  if (state_ != State::kConnecting) return;
+  if (error == boost::asio::error::interrupted) return awaitDial();
+  if (isLocalFault(error)) return dialAgain();
+  if (error) return fail(CallFailure::kNoConnection);
+  connected();
+}
+
+void Call::awaitDial() {
+  const auto self = shared_from_this();
+  const auto link = link_;
+  link->socket.async_wait(boost::asio::ip::tcp::socket::wait_write,
+                          [self, link](const boost::system::error_code& error) {
+                            if (self->state_ != State::kConnecting) return;
+                            self->dialed(error ? error : pendingError(link->socket));
+                          });
+}
+
+void Call::dialAgain() {
+  ++pool_.counters_["links.local_faults"];
+  localFault_ = true;
+  boost::system::error_code ignored;
+  link_->socket.close(ignored);
+  dialRetry_ = pool_.deadlines_.add(pool_.clock_.nowMs() + kResourceRetryMs, [self = shared_from_this()] {
+    self->dialRetry_.reset();
+    self->dial();
   });
 }
 
+void Call::connected() {
+  pool_.deadlines_.cancel(dial_);
+  boost::system::error_code ignored;
+  link_->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  write();
+}
+
 void Call::write() {
   state_ = State::kWriting;
   // Time has passed if a connection had to be waited for: the sink looks at drains and deadlines once more.
@@ -114,35 +159,30 @@
   if (state_ != State::kWriting) return;
   const Fields late = keep->fieldsAsWritten();
   if (!late.empty()) head_ = withFields(std::move(head_), late);
-  limitWrite(kWriteMs);
-  const std::array<boost::asio::const_buffer, 2> parts{
-      boost::asio::buffer(head_), body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
   const auto self = shared_from_this();
-  boost::asio::async_write(link_->socket, parts, [self](const boost::system::error_code& error, std::size_t) {
-    if (self->state_ != State::kWriting) return;
-    self->pool_.deadlines_.cancel(self->write_);
-    if (error) return self->fail(CallFailure::kNoConnection);
-    self->state_ = State::kHead;
-    self->tell("written");
-    const auto keep = self->sink_;
-    keep->written();
-    if (self->state_ == State::kHead) self->read();
+  write_ = pool_.deadlines_.add(pool_.clock_.nowMs() + kWriteMs, [self] {
+    self->write_.reset();
+    if (const auto sending = self->sending_.lock()) sending->cancel();
   });
+  const std::string_view body = body_ ? std::string_view(*body_) : std::string_view();
+  sending_ = SendOperation::start({link_, &link_->socket}, head_, body,
+                                  [self](const boost::system::error_code& error) { self->wrote(error); });
 }
 
-// Ends a write where it stands. Its handler alone tells how it went: a write whose last byte was out by then
-// is whole, although that handler has still to run.
-void Call::limitWrite(double withinMs) {
-  write_ = pool_.deadlines_.add(pool_.clock_.nowMs() + withinMs, [self = shared_from_this()] {
-    self->write_.reset();
-    boost::system::error_code ignored;
-    self->link_->socket.cancel(ignored);
-    self->limitWrite(kCancelAgainMs);
-  });
+// A write whose last byte was out by its time limit is whole, although this has still to run then.
+void Call::wrote(const boost::system::error_code& error) {
+  if (state_ != State::kWriting) return;
+  pool_.deadlines_.cancel(write_);
+  if (error) return fail(isLocalFault(error) ? CallFailure::kWithdrawn : CallFailure::kNoConnection);
+  state_ = State::kHead;
+  tell("written");
+  const auto keep = sink_;
+  keep->written();
+  if (state_ == State::kHead) read();
 }
 
 void Call::read() {
-  if (reading_ || paused_) return;
+  if (reading_ || paused_ || readRetry_) return;
   if (quiet_) return std::exchange(quiet_, nullptr)();
   reading_ = true;
   const auto self = shared_from_this();
@@ -159,12 +199,21 @@
                                  if (self->state_ == State::kOver) return;
                                  if (error == boost::asio::error::operation_aborted && self->quiet_)
                                    return self->read();
+                                 if (isLocalFault(error)) return self->readLater();
                                  if (error) return self->fail(CallFailure::kReset);
                                  link->buffer.commit(count);
                                  self->parse();
                                });
 }
 
+// This machine lacked memory or buffers: what has come is still there.
+void Call::readLater() {
+  readRetry_ = pool_.deadlines_.add(pool_.clock_.nowMs() + kResourceRetryMs, [self = shared_from_this()] {
+    self->readRetry_.reset();
+    if (self->state_ == State::kHead || self->state_ == State::kBody) self->read();
+  });
+}
+
 // Whether the answer has stopped inside of something that is sent in one piece. The parser leaves the end of
 // a chunk's data to the next size line, so that alone is no piece.
 bool Call::midway() const {
@@ -299,8 +348,9 @@
 
 bool Call::unread() const {
   if (!link_) return false;
-  char byte = 0;
-  return ::recv(link_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  std::array<char, 1> byte{};
+  const IoStatus seen = peek(link_->socket.native_handle(), byte).status;
+  return seen == IoStatus::kDone || seen == IoStatus::kNoResources;  // it may have, where nobody can look
 }
 
 void Call::tell(const char* what, int status) const {
@@ -316,8 +366,10 @@
 std::shared_ptr<CallSink> Call::finish() {
   state_ = State::kOver;
   pool_.deadlines_.cancel(dial_);
+  pool_.deadlines_.cancel(dialRetry_);
   pool_.deadlines_.cancel(write_);
   pool_.deadlines_.cancel(stuck_);
+  pool_.deadlines_.cancel(readRetry_);
   return std::move(sink_);
 }
 
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -23,6 +23,7 @@
 #include "core/deadlines.h"
 #include "net/endpoint.h"
 #include "net/message.h"
+#include "net/send_operation.h"
 
 namespace dahliastall::net {
 
@@ -30,9 +31,11 @@
 
 enum class CallFailure {
   kNoConnection,  // nothing of it can have run: the request's last byte was not written
+                  // and the instance, or the way to it, is at fault
   kReset,         // broken after the request was written
   kGarbled,       // what came after the request was written cannot be read, or stops midway
-  kWithdrawn      // the sink took it back when its connection was ready
+  kWithdrawn  // nothing was sent and the instance has no part in it: the sink took it back, or this machine
+              // had no connection to give
 };
 
 // Who made a call. Called in this order: ready, fieldsAsWritten, written, head, body..., then done or failed;
@@ -97,9 +100,15 @@
 
   void begin(std::shared_ptr<Link> link, bool fresh);
   void connect();
+  void dial();
+  void dialed(const boost::system::error_code& error);
+  void awaitDial();
+  void dialAgain();
+  void connected();
   void write();
-  void limitWrite(double withinMs);
+  void wrote(const boost::system::error_code& error);
   void read();
+  void readLater();
   void expectAnswer();
   void parse();
   bool skipInterim();
@@ -118,12 +127,14 @@
   std::shared_ptr<Link> link_;
   std::optional<Parser> parser_;
   std::function<void(std::uint64_t, boost::beast::string_view, boost::beast::error_code&)> onChunk_;
-  std::optional<core::Deadlines::Key> dial_, write_, stuck_;
+  std::optional<core::Deadlines::Key> dial_, dialRetry_, write_, stuck_, readRetry_;
+  std::weak_ptr<SendOperation> sending_;
   std::function<void()> quiet_;
   std::uint64_t announced_ = 0, received_ = 0;  // bytes of chunks
   int interim_ = 0;
   State state_ = State::kWaiting;
   bool paused_ = false, headSeen_ = false, reading_ = false, urgent_ = false;
+  bool localFault_ = false;  // it has cost a part of the dial's time
 };
 
 class Pool {
--- a/src/net/request_reader.cpp
+++ b/src/net/request_reader.cpp
@@ -1,15 +1,13 @@
 #include "net/request_reader.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <cerrno>
 
 #include "net/message.h"
+#include "net/socket_calls.h"
 
 namespace dahliastall::net {
 
@@ -20,8 +18,6 @@
 constexpr std::size_t kReadSize = 16 * 1024;
 using Part = std::array<char, kReadSize>;
 
-bool nothingYet(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
-
 }  // namespace
 
 void RequestReader::begin() {
@@ -32,23 +28,33 @@
   parser_->header_limit(kHeadLimit);
 }
 
-// Looks at what has come first, and takes out of the kernel what turned out to be of this request.
+// Looks at what has come first, and takes out of the kernel what turned out to be of this request. What was
+// looked at counts as read from then on, also if taking it out fails.
 RequestReader::Progress RequestReader::read(int descriptor, boost::system::error_code& error) {
+  takeStanding(descriptor);
   Part part;
-  const auto seen = ::recv(descriptor, part.data(), part.size(), MSG_PEEK | MSG_DONTWAIT);
-  if (seen == 0) error = boost::asio::error::eof;
-  if (seen < 0 && !nothingYet(errno)) error.assign(errno, boost::system::system_category());
+  const IoResult seen = peek(descriptor, part);
+  if (seen.status == IoStatus::kNoResources) return Progress::kNoResources;
+  if (seen.status == IoStatus::kEnded) error = boost::asio::error::eof;
+  if (seen.status == IoStatus::kFailed) error.assign(seen.error, boost::system::system_category());
   if (error) return Progress::kFailed;
-  const std::size_t come = seen > 0 ? static_cast<std::size_t>(seen) : 0;
-  input_.append(part.data(), come);
+  const std::size_t known = std::min(standing_, seen.bytes);
+  const std::size_t come = seen.bytes - known;
+  input_.append(part.data() + known, come);
   if (input_.empty()) return Progress::kNothing;
   const Progress progress = parse(error);
   const std::size_t behind = progress == Progress::kWhole ? std::min(input_.size(), come) : 0;
   input_.resize(input_.size() - behind);
-  if (come > behind) ::recv(descriptor, part.data(), come - behind, MSG_DONTWAIT);
+  standing_ += come - behind;
+  takeStanding(descriptor);
   return progress;
 }
 
+bool RequestReader::takeStanding(int descriptor) {
+  if (standing_ > 0) standing_ -= discard(descriptor, standing_).bytes;
+  return standing_ == 0;
+}
+
 RequestReader::Progress RequestReader::parse(boost::system::error_code& error) {
   std::size_t parsed = 0;
   while (!parser_->is_done() && parsed < input_.size()) {
--- a/src/net/request_reader.h
+++ b/src/net/request_reader.h
@@ -18,10 +18,11 @@
 class RequestReader {
  public:
   enum class Progress {
-    kNothing,  // nothing has come
-    kPart,     // the request has begun and is not whole
-    kWhole,    // release() gives it
-    kFailed,   // the connection has ended, or what came is no request: the error says which
+    kNothing,      // nothing has come
+    kPart,         // the request has begun and is not whole
+    kWhole,        // release() gives it
+    kFailed,       // the connection has ended, or what came is no request: the error says which
+    kNoResources,  // this machine could not look; the same call may succeed later
   };
 
   // Makes ready for the next request.
@@ -33,6 +34,10 @@
   HttpRequest release() { return parser_->release(); }
   bool keepAlive() const { return parser_->keep_alive(); }
   std::size_t size() const { return size_; }  // bytes of the request that are read so far
+  // Bytes that are read and could not be taken out of the kernel yet.
+  std::size_t standing() const { return standing_; }
+  // Takes them out; false while some are left.
+  bool takeStanding(int descriptor);
 
   // Bytes that were read before their request's turn, here or by the process that passed the connection on;
   // they come before those of the socket.
@@ -45,6 +50,7 @@
 
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
   std::size_t size_ = 0;
+  std::size_t standing_ = 0;
   std::string input_;  // read, and not parsed: a head or a chunk's size line that is not whole yet
 };
 
--- /dev/null
+++ b/src/net/socket_calls.cpp
@@ -0,0 +1,150 @@
+#include "net/socket_calls.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace dahliastall::net {
+
+namespace {
+
+constexpr std::size_t kDiscardSize = 4096;
+
+bool lacksMemory(int error) { return error == ENOBUFS || error == ENOMEM; }
+
+IoResult failure(int error) {
+  if (error == EAGAIN || error == EWOULDBLOCK) return {IoStatus::kWouldBlock};
+  return {lacksMemory(error) ? IoStatus::kNoResources : IoStatus::kFailed, 0, error};
+}
+
+IoResult receiveWith(int descriptor, std::span<char> into, int flags) {
+  while (true) {
+    const auto count = ::recv(descriptor, into.data(), into.size(), flags | MSG_DONTWAIT);
+    if (count > 0) return {IoStatus::kDone, static_cast<std::size_t>(count)};
+    if (count == 0) return {IoStatus::kEnded};
+    if (errno != EINTR) return failure(errno);
+  }
+}
+
+AcceptStatus acceptFailure(int error) {
+  switch (error) {
+    case EAGAIN:
+      return AcceptStatus::kNoneWaiting;
+    // Linux hands errors that are pending on the new connection to accept().
+    case ECONNABORTED:
+    case ENETDOWN:
+    case EPROTO:
+    case ENOPROTOOPT:
+    case EHOSTDOWN:
+    case ENONET:
+    case EHOSTUNREACH:
+    case EOPNOTSUPP:
+    case ENETUNREACH:
+    case ETIMEDOUT:
+    case EPERM:
+      return AcceptStatus::kAborted;
+    case EMFILE:
+    case ENFILE:
+      return AcceptStatus::kNoDescriptors;
+    default:
+      return AcceptStatus::kNoResources;
+  }
+}
+
+}  // namespace
+
+bool isLocalFault(int error) {
+  switch (error) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case ENOSPC:  // of watches, as a socket is registered with epoll
+    case EADDRNOTAVAIL:
+    case EADDRINUSE:
+    case EAGAIN:  // no entry is left in a table of the network's
+    case ENETUNREACH:
+    case ENETDOWN:
+    case EACCES:
+    case EPERM:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool isLocalFault(const boost::system::error_code& error) {
+  return error.category() == boost::system::system_category() && isLocalFault(error.value());
+}
+
+IoResult peek(int descriptor, std::span<char> into) { return receiveWith(descriptor, into, MSG_PEEK); }
+
+IoResult receive(int descriptor, std::span<char> into) { return receiveWith(descriptor, into, 0); }
+
+IoResult discard(int descriptor, std::size_t bytes) {
+  std::array<char, kDiscardSize> dropped;
+  std::size_t gone = 0;
+  while (gone < bytes) {
+    const IoResult part =
+        receive(descriptor, std::span(dropped).first(std::min(dropped.size(), bytes - gone)));
+    if (part.status != IoStatus::kDone) return {part.status, gone, part.error};
+    gone += part.bytes;
+  }
+  return {IoStatus::kDone, gone};
+}
+
+IoResult sendAvailable(int descriptor, std::string_view first, std::string_view second) {
+  const std::size_t size = first.size() + second.size();
+  std::size_t sent = 0;
+  while (sent < size) {
+    const std::string_view head = first.substr(std::min(sent, first.size()));
+    const std::string_view tail = second.substr(sent > first.size() ? sent - first.size() : 0);
+    std::array<iovec, 2> parts{
+        {{const_cast<char*>(head.data()), head.size()}, {const_cast<char*>(tail.data()), tail.size()}}};
+    msghdr message{};
+    message.msg_iov = head.empty() ? &parts[1] : parts.data();
+    message.msg_iovlen = head.empty() || tail.empty() ? 1 : 2;
+    const auto count = ::sendmsg(descriptor, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count > 0) {
+      sent += static_cast<std::size_t>(count);
+    } else if (count == 0) {
+      return {IoStatus::kWouldBlock, sent};
+    } else if (errno != EINTR) {
+      IoResult result = failure(errno);
+      result.bytes = sent;
+      return result;
+    }
+  }
+  return {IoStatus::kDone, sent};
+}
+
+bool hasPeerEnded(int descriptor) {
+  pollfd ask{descriptor, POLLRDHUP, 0};
+  int ready = 0;
+  do ready = ::poll(&ask, 1, 0);
+  while (ready < 0 && errno == EINTR);
+  return ready > 0 && (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+AcceptResult acceptNext(int listening) {
+  while (true) {
+    const int descriptor = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0) return {AcceptStatus::kAccepted, descriptor};
+    if (errno != EINTR) return {acceptFailure(errno)};
+  }
+}
+
+boost::system::error_code assign(boost::asio::ip::tcp::socket& socket, const boost::asio::ip::tcp& protocol,
+                                 int descriptor) {
+  boost::system::error_code error;
+  socket.assign(protocol, descriptor, error);
+  if (error) ::close(descriptor);
+  return error;
+}
+
+}  // namespace dahliastall::net
--- a/tests/support/stage.h
+++ b/tests/support/stage.h
@@ -121,6 +121,7 @@
     for (;;) {
       const std::size_t count = socket_.read_some(boost::asio::buffer(bytes), error);
       if (error == boost::asio::error::would_block) return false;
+      if (error == boost::asio::error::interrupted) continue;
       if (error) {
         if (closes) socket_.close();
         return true;
