Keep exclusions through a shared folder that fails: store later, read again, join late

Cause: Operations::writeExclusions() logged a failed write and the call answered ok; nothing wrote again. SharedFolder::freshText() noted the file as seen before reading it. One failed open in the constructor turned the folder off, sayServing() dropped the result of its write, and others() took a file that it could not open for a process that had ended.

Change: what cannot be stored is answered with fail, holds in this process and is written by the next look that can, never over a file that could not be read. Files are written beside, synced, renamed, and the folder is synced. A fresh process opens its listener once the stored exclusions are read, or after 5 s. Joining the folder, saying that this process serves and receiving streams are tried until they work. src/app/files holds whole reads and writes. ops_test checks the same with the new return types.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -17,8 +17,9 @@
 constexpr double kLookMs = 100;
 // Without a word from discovery the list that the configuration carries has to do.
 constexpr double kListWaitMs = 2'000;
-constexpr double kFollowMs = 500;    // between looks at the boxes' lives
-constexpr double kGoneMs = 600'000;  // that a box is shown after it has left the list
+constexpr double kExclusionsWaitMs = 5'000;  // for stored exclusions that cannot be read; 10 s are allowed
+constexpr double kFollowMs = 500;            // between looks at the boxes' lives
+constexpr double kGoneMs = 600'000;          // that a box is shown after it has left the list
 
 }  // namespace
 
@@ -27,51 +28,76 @@
       folder_(std::move(folder)),
       handover_(parts_.engine, parts_.front, parts_.listener),
       startedMs_(parts_.engine.clock.nowMs()) {
-  if (folder_ && !folder_->usable()) {
-    spdlog::warn("the shared folder cannot be used: exclusions hold in this process only");
-    folder_ = nullptr;
-  }
   if (!folder_) return;
+  openReceiver();
+  if (!receiver_->isOpen()) spdlog::warn("streams of another process cannot be taken over yet");
+}
+
+void Operations::openReceiver() {
   receiver_ = std::make_unique<PassingReceiver>(parts_.engine.io, folder_->folder(), folder_->receiver(),
                                                 [this](Passed passed) { handover_.take(std::move(passed)); });
-  if (!receiver_->isOpen()) spdlog::warn("streams of another process cannot be taken over");
 }
 
 Operations::~Operations() { parts_.engine.deadlines.cancel(next_); }
 
 void Operations::start() {
-  if (folder_) {
-    readExclusions();
-    share(folder_->others());
-  }
-  if (others_.serving == 0) openDoor();
+  if (folder_) lookIntoFolder();
+  if (others_.serving == 0 && exclusionsAreKnown()) openDoor();
   if (folder_ || parts_.doors || !parts_.listener.isOpen()) tick();
 }
 
-bool Operations::hasSuccessor() { return folder_ && folder_->others().serving > 0; }
+bool Operations::hasSuccessor() {
+  if (!folder_) return false;
+  if (const auto others = folder_->others()) others_.serving = others->serving;
+  return others_.serving > 0;
+}
 
 void Operations::handOver() {
-  const SharedFolder::Others others = folder_ ? folder_->others() : SharedFolder::Others{};
-  if (others.serving > 0) handover_.begin(folder_->folder(), others.receiver);
+  const auto others = folder_ ? folder_->others() : std::nullopt;
+  const SharedFolder::Others& known = others ? *others : others_;
+  if (known.serving > 0) handover_.begin(folder_->folder(), known.receiver);
 }
 
 void Operations::tick() {
-  if (folder_) {
-    share(folder_->others());
-    readExclusions();
-  }
+  if (folder_) lookIntoFolder();
   if (!parts_.listener.isOpen() && mayServe()) openDoor();
   if (parts_.doors) reconcileLifecycles();
   next_ = parts_.engine.deadlines.add(parts_.engine.clock.nowMs() + kLookMs, [this] { tick(); });
 }
 
+// All that may have failed before is tried again here. Who cannot be seen now counts as before.
+void Operations::lookIntoFolder() {
+  const auto others = folder_->others();
+  if (std::exchange(folderFails_, !others.has_value()) != folderFails_) {
+    if (others) spdlog::info("the shared folder can be used again");
+    else spdlog::warn("the shared folder cannot be used now: exclusions hold in this process only");
+  }
+  if (others) share(*others);
+  if (!receiver_->isOpen()) openReceiver();
+  readExclusions();
+  if (unstored_) storeExclusions();
+  if (parts_.listener.isOpen() && !saidServing_) sayServing();
+}
+
+// A fresh process must not send to what operators took out before, for a while that storage may take to come
+// back.
+bool Operations::exclusionsAreKnown() const {
+  return !folder_ || exclusionsRead_ || parts_.engine.clock.nowMs() - startedMs_ >= kExclusionsWaitMs;
+}
+
 bool Operations::mayServe() const {
+  if (!exclusionsAreKnown()) return false;
   return parts_.spoken() || parts_.engine.clock.nowMs() - startedMs_ >= kListWaitMs;
 }
 
 void Operations::openDoor() {
   parts_.listener.open();
-  if (folder_) folder_->sayServing();
+  if (folder_) sayServing();
+}
+
+void Operations::sayServing() {
+  saidServing_ = folder_->sayServing();
+  if (!saidServing_) ++parts_.engine.counters["folder.serving_unsaid"];
 }
 
 // Two processes of one conductor keep within one's limits: each takes its part of the connections, and what a
@@ -103,23 +129,47 @@
 }
 
 void Operations::readExclusions() {
-  const auto text = folder_->freshText();
-  if (!text) return;
-  const auto exclusions = fleet::Exclusions::parse(*text);
-  if (!exclusions) {
-    spdlog::error("the shared file of exclusions cannot be read; it is ignored");
-    ++parts_.engine.counters["marks.unreadable"];
-    return;
+  const SharedFolder::Read read = folder_->readExclusions();
+  switch (read.status) {
+    case SharedFolder::ReadStatus::kUnreadable:
+      exclusionsRead_ = false;
+      ++parts_.engine.counters["marks.unreadable"];
+      return;
+    case SharedFolder::ReadStatus::kFresh:
+      exclusionsRead_ = true;
+      return merge(read.text);
+    case SharedFolder::ReadStatus::kAbsent:
+      if (parts_.engine.membership.exclusions().size() > 0) unstored_ = true;
+      exclusionsRead_ = true;
+      return;
+    case SharedFolder::ReadStatus::kUnchanged:
+      exclusionsRead_ = true;
+      return;
+  }
+}
+
+// A text that makes no sense changes nothing here and is replaced by what holds here.
+void Operations::merge(const std::string& text) {
+  const auto exclusions = fleet::Exclusions::parse(text);
+  if (exclusions) {
+    tell(parts_.engine.membership.merge(*exclusions));
+  } else {
+    spdlog::error("the shared file of exclusions makes no sense; it is ignored");
+    ++parts_.engine.counters["marks.damaged"];
   }
-  tell(parts_.engine.membership.merge(*exclusions));
   // Written by both at once, one's news may be missing from it.
-  if (!(parts_.engine.membership.exclusions() == *exclusions)) writeExclusions();
+  unstored_ = !exclusions || !(parts_.engine.membership.exclusions() == *exclusions);
 }
 
-void Operations::writeExclusions() {
-  if (!folder_ || folder_->write(parts_.engine.membership.exclusions().text())) return;
-  spdlog::error("the shared file of exclusions cannot be written");
+// Not over a file that could not be read: what it holds would be lost.
+bool Operations::storeExclusions() {
+  if (!folder_) return true;
+  const bool failedBefore = unstored_;
+  unstored_ = !exclusionsRead_ || !folder_->writeExclusions(parts_.engine.membership.exclusions().text());
+  if (!unstored_) return true;
+  if (!failedBefore) spdlog::error("exclusions cannot be stored now; they hold here and are stored later");
   ++parts_.engine.counters["marks.unwritten"];
+  return false;
 }
 
 control::Service::Done Operations::ready() {
@@ -135,9 +185,11 @@
   const auto change = out ? members.exclude(id, now) : members.include(id, now);
   if (change.verdict == fleet::Membership::Verdict::kUnknown) return {false, "no instance has this id"};
   if (change.verdict == fleet::Membership::Verdict::kNoRoom) return {false, "too many instances are marked"};
-  writeExclusions();
+  const bool stored = storeExclusions();
   tell(change.news);
-  return {true, id + (out ? " is excluded" : " is included")};
+  const std::string done = id + (out ? " is excluded" : " is included");
+  if (!stored) return {false, done + " in this process only, until the shared folder can be written"};
+  return {true, done};
 }
 
 control::Service::Done Operations::exclude(const std::string& id) { return setExcluded(id, true); }
--- a/src/app/operations.h
+++ b/src/app/operations.h
@@ -67,11 +67,16 @@
  private:
   void tick();
   void share(SharedFolder::Others others);
+  void openReceiver();
+  void lookIntoFolder();
   void readExclusions();
-  void writeExclusions();
+  void merge(const std::string& text);
+  bool storeExclusions();
+  void sayServing();
   void tell(const std::optional<leverrelay::ListNews>& news);
   Done setExcluded(const std::string& id, bool out);
   bool mayServe() const;
+  bool exclusionsAreKnown() const;
   void openDoor();
   void reconcileLifecycles();
 
@@ -80,6 +85,10 @@
   Handover handover_;
   std::unique_ptr<PassingReceiver> receiver_;
   SharedFolder::Others others_;
+  bool exclusionsRead_ = false;  // what the folder stores is known here
+  bool unstored_ = false;        // what holds here is not stored there
+  bool saidServing_ = false;
+  bool folderFails_ = false;  // as was logged
   AdmissionWatch* admission_ = nullptr;
   Coordinator* coordinator_ = nullptr;  // none: this conductor shares nothing
   Sharer* sharer_ = nullptr;            // none: nothing but leases
--- a/src/app/shared_folder.cpp
+++ b/src/app/shared_folder.cpp
@@ -8,9 +8,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
+#include <cstdio>
 #include <memory>
 #include <utility>
 
+#include "app/files.h"
 #include "fleet/exclusions.h"
 
 namespace dahliastall::app {
@@ -25,50 +28,17 @@
   return name;
 }
 
-class File {
- public:
-  File(const std::string& path, int flags)
-      : descriptor_(::open(path.c_str(), flags | O_CLOEXEC | O_NOFOLLOW, 0600)) {}
-  ~File() {
-    if (descriptor_ >= 0) ::close(descriptor_);
-  }
-  File(const File&) = delete;
-  File& operator=(const File&) = delete;
-  int get() const { return descriptor_; }
-  int release() { return std::exchange(descriptor_, -1); }
-
- private:
-  int descriptor_;
-};
-
-bool writeAll(int descriptor, std::string_view text) {
-  while (!text.empty()) {
-    const auto count = ::write(descriptor, text.data(), text.size());
-    if (count < 0 && errno == EINTR) continue;
-    if (count <= 0) return false;
-    text.remove_prefix(static_cast<std::size_t>(count));
-  }
-  return true;
-}
-
 }  // namespace
 
-// The lock is there before the name is: a file that can be seen and locked has lost its process.
 SharedFolder::SharedFolder(std::string folder, const std::string& name)
     : folder_(std::move(folder)),
       prefix_("dahliastall-" + plainName(name) + ".process."),
       receiverPrefix_("dahliastall-" + plainName(name) + ".receiver."),
+      unnamed_(folder_ + "/dahliastall-" + plainName(name) + ".new." + std::to_string(::getpid())),
       ownName_(prefix_ + std::to_string(::getpid())),
       receiver_(receiverPrefix_ + std::to_string(::getpid())),
       exclusionsPath_(folder_ + "/dahliastall-" + plainName(name) + ".marks") {
-  const std::string unnamed =
-      folder_ + "/dahliastall-" + plainName(name) + ".new." + std::to_string(::getpid());
-  File file(unnamed, O_RDWR | O_CREAT | O_TRUNC);
-  if (file.get() < 0) return;
-  if (::flock(file.get(), LOCK_EX | LOCK_NB) == 0 &&
-      std::rename(unnamed.c_str(), (folder_ + "/" + ownName_).c_str()) == 0)
-    own_ = file.release();
-  else ::unlink(unnamed.c_str());
+  join();
 }
 
 SharedFolder::~SharedFolder() {
@@ -77,71 +47,94 @@
   ::close(own_);
 }
 
-SharedFolder::Others SharedFolder::others() {
-  Others found;
-  if (!usable()) return found;
+// The lock is there before the name is: a file that can be seen and locked has lost its process.
+bool SharedFolder::join() {
+  if (own_ >= 0) return true;
+  File file(unnamed_, O_RDWR | O_CREAT | O_TRUNC);
+  if (!file) return false;
+  if (::flock(file.get(), LOCK_EX | LOCK_NB) != 0 ||
+      std::rename(unnamed_.c_str(), (folder_ + "/" + ownName_).c_str()) != 0) {
+    ::unlink(unnamed_.c_str());
+    return false;
+  }
+  own_ = file.release();
+  return true;
+}
+
+std::optional<SharedFolder::Others> SharedFolder::others() {
+  if (!join()) return std::nullopt;
   const std::unique_ptr<DIR, int (*)(DIR*)> folder(::opendir(folder_.c_str()), ::closedir);
-  if (!folder) return found;
+  if (!folder) return std::nullopt;
+  Others found;
+  errno = 0;
   while (const dirent* entry = ::readdir(folder.get())) {
     const std::string name = entry->d_name;
-    if (name.rfind(prefix_, 0) != 0 || name == ownName_) continue;
-    const std::string path = folder_ + "/" + name;
-    const File file(path, O_RDONLY);
-    if (file.get() < 0) continue;
-    if (::flock(file.get(), LOCK_EX | LOCK_NB) == 0) {  // its process has ended
-      ::unlink(path.c_str());
-      ::unlink((folder_ + "/" + receiverPrefix_ + name.substr(prefix_.size())).c_str());
-      continue;
-    }
-    ++found.alive;
-    struct stat status {};
-    if (::fstat(file.get(), &status) != 0 || status.st_size == 0) continue;
-    ++found.serving;
-    found.receiver = receiverPrefix_ + name.substr(prefix_.size());
+    const bool other = name.rfind(prefix_, 0) == 0 && name != ownName_;
+    if (other && !countProcess(name, found)) return std::nullopt;
+    errno = 0;
   }
-  return found;
+  return errno == 0 ? std::optional(found) : std::nullopt;
 }
 
-void SharedFolder::sayServing() {
-  if (usable()) writeAll(own_, "serving\n");
+// False if it cannot be told what the file stands for: who is not seen must not pass for gone.
+bool SharedFolder::countProcess(const std::string& name, Others& found) const {
+  const std::string path = folder_ + "/" + name;
+  const File file(path, O_RDONLY);
+  if (!file) return errno == ENOENT;
+  if (::flock(file.get(), LOCK_EX | LOCK_NB) == 0) {  // its process has ended
+    ::unlink(path.c_str());
+    ::unlink((folder_ + "/" + receiverPrefix_ + name.substr(prefix_.size())).c_str());
+    return true;
+  }
+  ++found.alive;
+  struct stat status {};
+  if (::fstat(file.get(), &status) != 0) return false;
+  if (status.st_size == 0) return true;
+  ++found.serving;
+  found.receiver = receiverPrefix_ + name.substr(prefix_.size());
+  return true;
 }
 
-std::optional<SharedFolder::Stamp> SharedFolder::stampOf(int descriptor) const {
+bool SharedFolder::sayServing() { return join() && writeAll(own_, "serving\n"); }
+
+std::optional<SharedFolder::Stamp> SharedFolder::stampOf(int descriptor) {
   struct stat status {};
   if (::fstat(descriptor, &status) != 0) return std::nullopt;
   return Stamp{status.st_ino, status.st_mtim.tv_sec, status.st_mtim.tv_nsec, status.st_size};
 }
 
-std::optional<std::string> SharedFolder::freshText() {
-  if (!usable()) return std::nullopt;
+SharedFolder::Read SharedFolder::readExclusions() {
   const File file(exclusionsPath_, O_RDONLY);
-  if (file.get() < 0) return std::nullopt;
+  if (!file) return {errno == ENOENT ? ReadStatus::kAbsent : ReadStatus::kUnreadable};
   const auto stamp = stampOf(file.get());
-  if (!stamp || stamp == seen_) return std::nullopt;
+  if (!stamp) return {ReadStatus::kUnreadable};
+  if (stamp == seen_) return {ReadStatus::kUnchanged};
+  const std::size_t size = std::min<std::size_t>(static_cast<std::size_t>(stamp->size), kLargestFile);
+  auto text = readUpTo(file.get(), size);
+  if (!text || text->size() < size) return {ReadStatus::kUnreadable};
   seen_ = stamp;
-  std::string text(std::min<std::size_t>(static_cast<std::size_t>(stamp->size), kLargestFile), '\0');
-  std::size_t have = 0;
-  while (have < text.size()) {
-    const auto count = ::read(file.get(), text.data() + have, text.size() - have);
-    if (count < 0 && errno == EINTR) continue;
-    if (count <= 0) break;
-    have += static_cast<std::size_t>(count);
-  }
-  text.resize(have);
-  return text;
+  return {ReadStatus::kFresh, std::move(*text)};
 }
 
-bool SharedFolder::write(const std::string& text) {
-  if (!usable()) return false;
-  const std::string whole = exclusionsPath_ + ".new." + std::to_string(::getpid());
-  const File file(whole, O_WRONLY | O_CREAT | O_TRUNC);
-  if (file.get() < 0) return false;
-  if (!writeAll(file.get(), text) || std::rename(whole.c_str(), exclusionsPath_.c_str()) != 0) {
-    ::unlink(whole.c_str());
+bool SharedFolder::writeExclusions(const std::string& text) {
+  if (!join()) return false;
+  const std::string beside = exclusionsPath_ + ".new." + std::to_string(::getpid());
+  const File file(beside, O_WRONLY | O_CREAT | O_TRUNC);
+  if (!file) return false;
+  if (!writeAll(file.get(), text) || !sync(file.get()) ||
+      std::rename(beside.c_str(), exclusionsPath_.c_str()) != 0) {
+    ::unlink(beside.c_str());
     return false;
   }
   seen_ = stampOf(file.get());
-  return true;
+  return syncFolder();
+}
+
+// Until then a crash of the machine may bring the old file back.
+bool SharedFolder::syncFolder() const {
+  const File folder(folder_, O_RDONLY | O_DIRECTORY);
+  if (!folder) return false;
+  return sync(folder.get()) || errno == EINVAL;  // where a file system has nothing to sync
 }
 
 }  // namespace dahliastall::app
--- a/src/app/shared_folder.h
+++ b/src/app/shared_folder.h
@@ -1,7 +1,9 @@
-// What two processes of one conductor share while one replaces the other: a folder, in which each holds a
-// lock on a file of its own, and one file of marks. A lock ends with its process, however that ends, so
-// whatever a killed process leaves behind is known as such. Files are small and the folder is in memory:
-// nothing here waits.
+/// What two processes of one conductor share while one replaces the other: a folder, in which each holds a
+/// lock on a file of its own, and one file of operators' exclusions. A lock ends with its process, however
+/// that ends, so whatever a killed process leaves behind is known as such.
+///
+/// Any call may fail for a time. Nothing is given up then: who calls learns of it and calls again. A file is
+/// replaced whole and synced, or not at all. Files are small, and the folder is in memory or on a local disk.
 #pragma once
 
 #include <optional>
@@ -11,29 +13,45 @@
 
 class SharedFolder {
  public:
-  // name: of the conductor, so that two of them may use one folder.
+  /// name: of the conductor, so that two of them may use one folder.
   SharedFolder(std::string folder, const std::string& name);
   ~SharedFolder();
   SharedFolder(const SharedFolder&) = delete;
   SharedFolder& operator=(const SharedFolder&) = delete;
 
-  // False if the folder cannot be used; the process then takes itself to be alone.
-  bool usable() const { return own_ >= 0; }
+  /// Makes this process known in the folder, if it is not yet. False while it cannot; then nothing else here
+  /// works.
+  bool join();
 
   struct Others {
     std::size_t alive = 0, serving = 0;
-    std::string receiver;  // the name under which a serving one receives
+    std::string receiver;  ///< the name under which a serving one receives
     bool operator==(const Others&) const = default;
   };
-  Others others();
+  /// The other processes; nothing if the folder cannot be looked through now.
+  std::optional<Others> others();
+
+  /// Tells the others that this process serves. False if they may not learn of it.
+  [[nodiscard]] bool sayServing();
 
-  void sayServing();  // to the others
   const std::string& folder() const { return folder_; }
-  const std::string& receiver() const { return receiver_; }  // this process's
+  const std::string& receiver() const { return receiver_; }  ///< this process's
+
+  enum class ReadStatus {
+    kUnchanged,   ///< since it was read or written last
+    kAbsent,      ///< there is no file
+    kFresh,       ///< the text is new
+    kUnreadable,  ///< the file cannot be read now; what it says is not known
+  };
+  struct Read {
+    ReadStatus status = ReadStatus::kUnreadable;
+    std::string text{};
+  };
+  Read readExclusions();
 
-  // The text of the file of marks, if it is there and is not what was read or written last.
-  std::optional<std::string> freshText();
-  bool write(const std::string& text);  // whole, or not at all
+  /// Replaces the file. False if the text may not outlast this process; the old text is then still there, or
+  /// the new one is and the system could not say that it lasts.
+  [[nodiscard]] bool writeExclusions(const std::string& text);
 
  private:
   struct Stamp {
@@ -41,9 +59,11 @@
     long long seconds = 0, nanoseconds = 0, size = -1;
     bool operator==(const Stamp&) const = default;
   };
-  std::optional<Stamp> stampOf(int descriptor) const;
+  static std::optional<Stamp> stampOf(int descriptor);
+  bool countProcess(const std::string& name, Others& found) const;
+  bool syncFolder() const;
 
-  std::string folder_, prefix_, receiverPrefix_, ownName_, receiver_, exclusionsPath_;
+  std::string folder_, prefix_, receiverPrefix_, unnamed_, ownName_, receiver_, exclusionsPath_;
   int own_ = -1;
   std::optional<Stamp> seen_;
 };
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -469,26 +469,29 @@
 TEST(SharedFolder, AKilledProcessIsKnownToBeGoneAndItsFileGoes) {
   Folder folder;
   app::SharedFolder own(folder.path, "n0");
-  ASSERT_TRUE(own.usable());
+  ASSERT_TRUE(own.join());
   int started[2];
   ASSERT_EQ(::pipe(started), 0);
   const pid_t child = ::fork();
   if (child == 0) {
     app::SharedFolder other(folder.path, "n0");
-    other.sayServing();
-    const char byte = other.usable() ? 'y' : 'n';
+    const char byte = other.sayServing() ? 'y' : 'n';
     if (::write(started[1], &byte, 1) == 1) ::pause();
     ::_exit(0);
   }
   char byte = 0;
   ASSERT_EQ(::read(started[0], &byte, 1), 1);
   EXPECT_EQ(byte, 'y');
-  EXPECT_EQ(own.others().alive, 1U);
-  EXPECT_EQ(own.others().serving, 1U);
-  EXPECT_EQ(own.others().receiver, "dahliastall-n0.receiver." + std::to_string(child));
+  const auto beside = own.others();
+  ASSERT_TRUE(beside);
+  EXPECT_EQ(beside->alive, 1U);
+  EXPECT_EQ(beside->serving, 1U);
+  EXPECT_EQ(beside->receiver, "dahliastall-n0.receiver." + std::to_string(child));
   ::kill(child, SIGKILL);
   ::waitpid(child, nullptr, 0);
-  EXPECT_EQ(own.others().alive, 0U);
+  const auto alone = own.others();
+  ASSERT_TRUE(alone);
+  EXPECT_EQ(alone->alive, 0U);
   std::size_t files = 0;
   for ([[maybe_unused]] const auto& entry : std::filesystem::directory_iterator(folder.path)) ++files;
   EXPECT_EQ(files, 1U);
@@ -499,16 +502,20 @@
 TEST(SharedFolder, TextsPassWholeAndAreFreshOnce) {
   Folder folder;
   app::SharedFolder one(folder.path, "n0");
-  EXPECT_FALSE(one.freshText());
-  ASSERT_TRUE(one.write("first"));
-  EXPECT_FALSE(one.freshText());  // its own
+  using Status = app::SharedFolder::ReadStatus;
+  EXPECT_EQ(one.readExclusions().status, Status::kAbsent);
+  ASSERT_TRUE(one.writeExclusions("first"));
+  EXPECT_EQ(one.readExclusions().status, Status::kUnchanged);  // its own
   std::ofstream(folder.path + "/dahliastall-n0.marks.tmp") << "second";
   std::filesystem::rename(folder.path + "/dahliastall-n0.marks.tmp", folder.path + "/dahliastall-n0.marks");
-  EXPECT_EQ(one.freshText(), "second");
-  EXPECT_FALSE(one.freshText());
+  const auto fresh = one.readExclusions();
+  EXPECT_EQ(fresh.status, Status::kFresh);
+  EXPECT_EQ(fresh.text, "second");
+  EXPECT_EQ(one.readExclusions().status, Status::kUnchanged);
   app::SharedFolder nowhere(folder.path + "/missing", "n0");
-  EXPECT_FALSE(nowhere.usable());
-  EXPECT_FALSE(nowhere.write("x"));
+  EXPECT_FALSE(nowhere.join());
+  EXPECT_FALSE(nowhere.others());
+  EXPECT_FALSE(nowhere.writeExclusions("x"));
 }
 
 // ---- Figures -----------------------------------------------------------------------------------------
