Measure all spans on the monotonic clock; tell ages of instances without the wall clock

Cause: core::SystemClock was anchored to the wall clock as the process started, and discovery's start times were compared with it: an hour ahead, an instance that had just started was warm at once (slow start broken); behind, it stayed cold for as long as the clock was off. Two processes of one conductor disagreed as well about the times in a handed-over stream and in the shared file of exclusions. PassingReceiver took a stream whose acknowledgement it could not send, so that two processes had it; its listener kept the loop busy while descriptors were out.

Change: Clock is the machine's monotonic clock, the same for all its processes; WallClock is read only for times that are told to people and collectors and for the period of budgets. fleet/instance_ages fixes ages by the order of the told times and the moments in which they were heard. A stream is taken only if its sender hears of it.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -150,8 +150,9 @@
 
 // A text that makes no sense changes nothing here and is replaced by what holds here.
 void Operations::merge(const std::string& text) {
-  const auto exclusions = fleet::Exclusions::parse(text);
+  auto exclusions = fleet::Exclusions::parse(text);
   if (exclusions) {
+    exclusions->boundTimes(parts_.engine.clock.nowMs());
     tell(parts_.engine.membership.merge(*exclusions));
   } else {
     spdlog::error("the shared file of exclusions makes no sense; it is ignored");
--- a/src/app/otlp.cpp
+++ b/src/app/otlp.cpp
@@ -18,12 +18,12 @@
 
 }  // namespace
 
-std::string otlpMetrics(const core::Counters& counters, const std::string& service, double startMs,
-                        double nowMs) {
+std::string otlpMetrics(const core::Counters& counters, const std::string& service, double startUnixMs,
+                        double nowUnixMs) {
   json metrics = json::array();
   for (const auto& [name, value] : counters.all()) {
-    const json point{{"startTimeUnixNano", nanos(startMs)},
-                     {"timeUnixNano", nanos(nowMs)},
+    const json point{{"startTimeUnixNano", nanos(startUnixMs)},
+                     {"timeUnixNano", nanos(nowUnixMs)},
                      {"asInt", std::to_string(value)}};
     metrics.push_back({{"name", "dahliastall." + name},
                        {"unit", "1"},
@@ -59,14 +59,14 @@
       pool_(io, clock, deadlines, unseen_, {1, kDialMs, intervalMs * 2}),
       collector_(collector),
       intervalMs_(intervalMs),
-      startMs_(clock.nowMs()) {
+      startUnixMs_(core::systemWallClock().unixMs()) {
   deadlines_.add(clock_.nowMs() + intervalMs_, [this] { send(); });
 }
 
 void OtlpExporter::send() {
   if (call_) call_->abandon();
-  const auto body =
-      std::make_shared<const std::string>(otlpMetrics(counters_, "dahliastall", startMs_, clock_.nowMs()));
+  const auto body = std::make_shared<const std::string>(
+      otlpMetrics(counters_, "dahliastall", startUnixMs_, core::systemWallClock().unixMs()));
   const std::string host = collector_.address().to_string() + ":" + std::to_string(collector_.port());
   call_ = pool_.call(
       collector_,
--- a/src/app/otlp.h
+++ b/src/app/otlp.h
@@ -12,8 +12,8 @@
 namespace dahliastall::app {
 
 // An ExportMetricsServiceRequest: each counter as a cumulative, monotonic sum.
-std::string otlpMetrics(const core::Counters& counters, const std::string& service, double startMs,
-                        double nowMs);
+std::string otlpMetrics(const core::Counters& counters, const std::string& service, double startUnixMs,
+                        double nowUnixMs);
 
 class OtlpExporter {
  public:
@@ -36,7 +36,7 @@
   core::Counters unseen_;  // of the exporter's own pool: exporting must not count as work
   net::Pool pool_;
   net::Endpoint collector_;
-  double intervalMs_, startMs_;
+  double intervalMs_, startUnixMs_;
   std::shared_ptr<net::Call> call_;
 };
 
--- a/src/app/passing.cpp
+++ b/src/app/passing.cpp
@@ -7,6 +7,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <utility>
 
@@ -16,6 +18,7 @@
 
 constexpr std::size_t kMostDescriptors = 4;
 constexpr std::size_t kMostPeers = 4;
+constexpr std::chrono::milliseconds kRetry{20};  // after this machine lacked resources
 
 // The path of a Unix socket is short, that of a folder need not be: it is named by a descriptor of the
 // folder.
@@ -43,6 +46,13 @@
   return Descriptor(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
+// Interrupted, a connection within one machine is there or is asked for anew.
+bool connectTo(int socket, const Address& address) {
+  while (::connect(socket, address.get(), Address::size()) != 0)
+    if (errno != EINTR) return errno == EISCONN;
+  return true;
+}
+
 bool sameUser(int socket) {
   ucred peer{};
   socklen_t size = sizeof peer;
@@ -69,7 +79,7 @@
 
 class PassingReceiver::Peer final : public std::enable_shared_from_this<Peer> {
  public:
-  Peer(PassingReceiver& owner, int socket) : owner_(&owner), socket_(owner.io_, socket) {}
+  Peer(PassingReceiver& owner, int socket) : owner_(&owner), socket_(owner.io_, socket), retry_(owner.io_) {}
 
   void wait() {
     socket_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
@@ -109,28 +119,45 @@
           passed.descriptors.emplace_back(descriptor);
         }
       }
-      if (count <= 0) {
-        const auto self = shared_from_this();
-        owner_->peers_.remove(self);
-        return close();
-      }
+      if (count < 0 && (errno == ENOBUFS || errno == ENOMEM)) return readLater();
+      if (count <= 0) return leave();
       // Cut off, it means nothing; its descriptors close here.
       if ((message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0) continue;
-      // Before anything is done with it: whoever sent it keeps it until then. Who has ended needs no word.
-      [[maybe_unused]] const auto said = ::send(socket_.native_handle(), "", 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+      // Before anything is done with it: whoever sent it keeps it until then, and for good if it does not
+      // hear.
+      if (!acknowledge()) return leave();
       bytes.resize(static_cast<std::size_t>(count));
       passed.bytes = std::move(bytes);
       owner_->take_(std::move(passed));
     }
   }
 
+  // Who has ended needs no word and keeps nothing.
+  bool acknowledge() {
+    while (::send(socket_.native_handle(), "", 1, MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+      if (errno != EINTR) return errno == EPIPE || errno == ECONNRESET;
+    return true;
+  }
+  void leave() {
+    const auto self = shared_from_this();
+    owner_->peers_.remove(self);
+    close();
+  }
+  void readLater() {
+    retry_.expires_after(kRetry);
+    retry_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      if (!error && self->owner_ != nullptr) self->read();
+    });
+  }
+
   PassingReceiver* owner_;
   boost::asio::posix::stream_descriptor socket_;
+  boost::asio::steady_timer retry_;
 };
 
 PassingReceiver::PassingReceiver(boost::asio::io_context& io, std::string folder, const std::string& name,
                                  Take take)
-    : io_(io), folder_(std::move(folder)), name_(name), take_(std::move(take)), listener_(io) {
+    : io_(io), folder_(std::move(folder)), name_(name), take_(std::move(take)), listener_(io), retry_(io) {
   const Address address(folder_, name_);
   Descriptor socket = newSocket();
   if (!address.good() || !socket) return;
@@ -148,25 +175,35 @@
 }
 
 void PassingReceiver::accept() {
-  listener_.async_wait(
-      boost::asio::posix::stream_descriptor::wait_read, [this](const boost::system::error_code& error) {
-        if (error) return;
-        Descriptor socket(
-            ::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (socket && peers_.size() < kMostPeers && sameUser(socket.get())) {
-          peers_.push_back(std::make_shared<Peer>(*this, socket.take()));
-          peers_.back()->wait();
-        }
-        accept();
-      });
+  listener_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                       [this](const boost::system::error_code& error) {
+                         if (error) return;
+                         acceptOne();
+                       });
+}
+
+// A listener that cannot accept stays ready: without a pause it would keep the loop busy.
+void PassingReceiver::acceptOne() {
+  Descriptor socket(::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (!socket && errno != EINTR && errno != EAGAIN && errno != ECONNABORTED) {
+    retry_.expires_after(kRetry);
+    retry_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) accept();
+    });
+    return;
+  }
+  if (socket && peers_.size() < kMostPeers && sameUser(socket.get())) {
+    peers_.push_back(std::make_shared<Peer>(*this, socket.take()));
+    peers_.back()->wait();
+  }
+  accept();
 }
 
 // ---- Sending -----------------------------------------------------------------------------------------
 
 PassingSender::PassingSender(const std::string& folder, const std::string& name) : socket_(newSocket()) {
   const Address address(folder, name);
-  if (!socket_ || !address.good() || ::connect(socket_.get(), address.get(), Address::size()) != 0)
-    socket_ = Descriptor();
+  if (!socket_ || !address.good() || !connectTo(socket_.get(), address)) socket_ = Descriptor();
 }
 
 PassingSender::Result PassingSender::send(const std::string& bytes, const std::vector<int>& descriptors) {
--- a/src/app/passing.h
+++ b/src/app/passing.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
 #include <memory>
@@ -46,11 +47,13 @@
  private:
   class Peer;
   void accept();
+  void acceptOne();
 
   boost::asio::io_context& io_;
   std::string folder_, name_;
   Take take_;
   boost::asio::posix::stream_descriptor listener_;
+  boost::asio::steady_timer retry_;
   std::list<std::shared_ptr<Peer>> peers_;
 };
 
--- a/src/app/sharer.cpp
+++ b/src/app/sharer.cpp
@@ -43,7 +43,7 @@
 std::unique_ptr<coordination::FleetTask> Sharer::task(double longestStepMs) {
   auto task = std::make_unique<DigestTask>(
       coordination::TaskConfig{"digest", setup_.config.digestMs, longestStepMs, /*quiet=*/true},
-      [this] { return setup_.config; }, [this] { return engine_.clock.nowMs(); });
+      [this] { return setup_.config; }, [] { return core::systemWallClock().unixMs(); });
   task_ = task.get();
   return task;
 }
@@ -65,7 +65,7 @@
 void Sharer::speak() {
   if (!put_) return;
   const double now = engine_.clock.nowMs();
-  const auto write = node_.next(now, now);
+  const auto write = node_.next(core::systemWallClock().unixMs(), now);
   if (!write) return;
   put_(*write, [this, alive = alive_](coordination::CommitAnswer answer) {
     if (*alive) node_.written(answer, engine_.clock.nowMs());
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,4 +1,6 @@
-// The one clock of the program: milliseconds since the Unix epoch as a floating-point number.
+/// The program's two clocks. All spans (deadlines, windows, waits) are measured on the monotonic one. The
+/// wall clock may be wrong and may be stepped; it is read only to compare with times that other machines tell
+/// and to tell times to others.
 #pragma once
 
 #include <chrono>
@@ -8,25 +10,26 @@
 
 namespace dahliastall::core {
 
+/// Milliseconds that only grow. What they count from means nothing, except that all processes of a machine
+/// count from the same moment.
 class Clock {
  public:
   virtual ~Clock() = default;
   virtual double nowMs() const = 0;
 };
 
-// Anchored once to the system clock and advanced by the steady one: comparable with start times that the
-// fleet list gives, yet it never goes back when the system's time is set.
 class SystemClock final : public Clock {
  public:
   double nowMs() const override {
-    const std::chrono::duration<double, std::milli> gone = std::chrono::steady_clock::now() - steady_;
-    return startMs_ + gone.count();
+    const std::chrono::duration<double, std::milli> running =
+        std::chrono::steady_clock::now().time_since_epoch();
+    return kOriginMs + running.count();
   }
 
  private:
-  std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
-  double startMs_ =
-      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  // Zero stands for a time long past in many places, so that a machine that has just started must not begin
+  // there.
+  static constexpr double kOriginMs = 1e9;
 };
 
 class ManualClock final : public Clock {
@@ -39,6 +42,27 @@
   double now_ = 1'000'000;
 };
 
+/// Milliseconds since the Unix epoch, as this machine sees it.
+class WallClock {
+ public:
+  virtual ~WallClock() = default;
+  virtual double unixMs() const = 0;
+};
+
+class SystemWallClock final : public WallClock {
+ public:
+  double unixMs() const override {
+    const std::chrono::duration<double, std::milli> now = std::chrono::system_clock::now().time_since_epoch();
+    return now.count();
+  }
+};
+
+/// This machine's.
+inline const WallClock& systemWallClock() {
+  static const SystemWallClock clock;
+  return clock;
+}
+
 // The only place where the program's milliseconds meet the module's microseconds.
 inline leverrelay::Duration toModule(double ms) { return leverrelay::Duration(std::llround(ms * 1000)); }
 inline leverrelay::Time toModuleTime(double ms) { return leverrelay::Time(toModule(ms)); }
--- a/src/fleet/exclusions.cpp
+++ b/src/fleet/exclusions.cpp
@@ -1,5 +1,6 @@
 #include "fleet/exclusions.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -33,6 +34,10 @@
   return changed;
 }
 
+void Exclusions::boundTimes(double nowMs) {
+  for (auto& [id, exclusion] : exclusions_) exclusion.updatedMs = std::min(exclusion.updatedMs, nowMs);
+}
+
 std::string Exclusions::text() const {
   json list = json::array();
   for (const auto& [id, exclusion] : exclusions_)
--- a/src/fleet/exclusions.h
+++ b/src/fleet/exclusions.h
@@ -17,7 +17,7 @@
   bool excluded = false;
   std::uint64_t version = 0;  // one more than the highest version known to its writer
   std::uint64_t writer = 0;   // breaks ties between equal versions
-  double updatedMs = 0;       // by the machine's clock
+  double updatedMs = 0;       // by the machine's monotonic clock
 
   bool supersedes(const Exclusion& other) const {
     return std::tie(version, writer) > std::tie(other.version, other.writer);
@@ -50,6 +50,8 @@
   // Returns the instances whose entry changed.
   std::vector<std::string> merge(const Exclusions& others);
   void forget(const std::string& id) { exclusions_.erase(id); }
+  // Times of a clock that counted from another moment, before the machine started anew, are bounded by now.
+  void boundTimes(double nowMs);
 
   // The text form in the shared file, and back; nothing if the text is not a complete one.
   std::string text() const;
--- a/src/fronts/platform/discovery.cpp
+++ b/src/fronts/platform/discovery.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "fronts/platform/document_gate.h"
@@ -95,7 +96,8 @@
       boxes_(droppable),
       names_(names),
       own_(io, clock, deadlines, counters, {2, fleet::DiscoveryBackoff::kConnectTimeoutMs, 1000}),
-      pace_(pace) {}  // the watch, and the next while moving
+      pace_(pace),
+      ages_(clock) {}
 
 // A call and its sink hold each other while it runs.
 Discovery::~Discovery() {
@@ -176,9 +178,10 @@
 }
 
 bool Discovery::line(std::string_view text) {
-  if (text.find_first_not_of(" \r\t\n") == std::string_view::npos) return true;  // a sign of life
+  const bool signOfLife = text.find_first_not_of(" \r\t\n") == std::string_view::npos;
   try {
-    apply(json::parse(text), std::nullopt);
+    if (!signOfLife) apply(json::parse(text), std::nullopt);
+    ages_.heard();
     return true;
   } catch (const json::exception&) {
   } catch (const std::invalid_argument&) {
@@ -187,6 +190,30 @@
   return false;
 }
 
+leverrelay::ListEntry Discovery::entryOf(const json& member, std::uint32_t zone) {
+  const std::string id = member.at("id").get<std::string>();
+  const auto started = ages_.startOf(id, member.value("up_since_ms", 0.0));
+  return {
+      .engine = {id},
+      .zone = {zone},
+      .kind = {placeOf(names_.kinds, member.at("flavor").get<std::string>())},
+      .cell = {member.value("cell", 0U)},
+      .presence = presenceOf(member.at("phase").get<std::string>()),
+      .weight = member.value("size", 1.0),
+      .started = started ? std::optional(core::toModuleTime(*started)) : std::nullopt,
+  };
+}
+
+// An instance that leaves and comes back is a new one, whatever start time it has.
+void Discovery::forgetAges(const ListNews& news) {
+  std::set<std::string> listed;
+  for (const ListEntry& entry : news.entries) {
+    if (entry.presence == Presence::kGone) ages_.forget(entry.engine.value);
+    listed.insert(entry.engine.value);
+  }
+  if (news.form != ListForm::kChanges) ages_.keepOnly(listed);
+}
+
 // Everything is read before anything is changed: a list that is malformed changes nothing.
 void Discovery::apply(const json& list, std::optional<ListForm> form) {
   ListNews news;
@@ -194,26 +221,19 @@
   const bool whole = list.value("complete", false);
   news.form = form.value_or(whole ? ListForm::kFull : ListForm::kChanges);
   std::map<EngineId, Box> named;
+  for (const json& member : list.at("members")) ages_.sees(member.value("up_since_ms", 0.0));
   for (const json& member : list.at("members")) {
-    const EngineId id{member.at("id").get<std::string>()};
     const std::uint32_t zone = placeOf(names_.zones, member.at("locality").get<std::string>());
     if (zone == names_.zones.size()) continue;  // of a zone that the settings do not name
-    const double started = member.value("up_since_ms", 0.0);
+    ListEntry entry = entryOf(member, zone);
     Box box;
     box.address = endpointOf(member.at("host_port").get<std::string>());
-    box.presence = presenceOf(member.at("phase").get<std::string>());
-    box.startedMs = started;
-    news.entries.push_back({
-        .engine = id,
-        .zone = {zone},
-        .kind = {placeOf(names_.kinds, member.at("flavor").get<std::string>())},
-        .cell = {member.value("cell", 0U)},
-        .presence = box.presence,
-        .weight = member.value("size", 1.0),
-        .started = started > 0 ? std::optional(core::toModuleTime(started)) : std::nullopt,
-    });
-    named[id] = box;
+    box.presence = entry.presence;
+    box.startedMs = member.value("up_since_ms", 0.0);
+    named[entry.engine] = box;
+    news.entries.push_back(std::move(entry));
   }
+  forgetAges(news);
   directory_.update(named, news.form != ListForm::kChanges, boxes_);
   revision_ = news.version;
   ++counters_["discovery.lists"];
--- a/src/fronts/platform/discovery.h
+++ b/src/fronts/platform/discovery.h
@@ -13,6 +13,7 @@
 #include "core/deadlines.h"
 #include "core/ports.h"
 #include "fleet/discovery_backoff.h"
+#include "fleet/instance_ages.h"
 #include "fronts/boxes/directory.h"
 #include "net/pool.h"
 #include "wire.h"
@@ -49,6 +50,8 @@
   void openLater();
   void leaveNext();
   void apply(const nlohmann::json& list, std::optional<leverrelay::ListForm> form);
+  void forgetAges(const leverrelay::ListNews& news);
+  leverrelay::ListEntry entryOf(const nlohmann::json& member, std::uint32_t zone);
 
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
@@ -63,6 +66,7 @@
   std::optional<core::Deadlines::Key> reopen_;
   bool doubted_ = false;  // the watch has gone silent, and another is tried beside it
   fleet::DiscoveryBackoff pace_;
+  fleet::InstanceAges ages_;
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,6 +1,7 @@
 // The life of a box and the commands that drain it, against simple models.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 #include <set>
@@ -9,11 +10,63 @@
 
 #include "fleet/discovery_backoff.h"
 #include "fleet/drains.h"
+#include "fleet/instance_ages.h"
 #include "fleet/lifecycle.h"
 
 namespace dahliastall::fleet {
 namespace {
 
+// ---- InstanceAges -------------------------------------------------------------------------------
+
+// Starts of instances as discovery tells them, by a clock that is off by any amount, some time later.
+RC_GTEST_PROP(InstanceAges, NeverMakeAnInstanceOlderThanItIs, ()) {
+  core::ManualClock clock;
+  InstanceAges ages(clock);
+  const double offsetMs = *rc::gen::inRange(-4'000'000, 4'000'000) + 1e12;
+  const int starts = *rc::gen::inRange(1, 20);
+  for (int i = 0; i < starts; ++i) {
+    clock.advance(*rc::gen::inRange(0, 30'000));
+    if (*rc::gen::arbitrary<bool>()) ages.heard();
+    const double startedMs = clock.nowMs() - *rc::gen::inRange(0, 6'000);
+    ages.sees(startedMs + offsetMs);
+    const auto estimate = ages.startOf(std::to_string(i % 5), startedMs + offsetMs);
+    RC_ASSERT(estimate.has_value());
+    RC_ASSERT(*estimate >= startedMs - 1e-3);
+    RC_ASSERT(*estimate <= clock.nowMs());
+  }
+}
+
+TEST(InstanceAges, AreThoseThatDiscoveryTellsOnceOneWasHeardOfAtOnce) {
+  core::ManualClock clock;
+  InstanceAges ages(clock);
+  const double offsetMs = 3'600'000;
+  const double begunMs = clock.nowMs();
+  ages.sees(begunMs + offsetMs);
+  EXPECT_EQ(ages.startOf("at once", begunMs + offsetMs), begunMs);
+  ages.heard();
+  clock.advance(5'000);
+  ages.sees(begunMs + 2'000 + offsetMs);
+  EXPECT_EQ(ages.startOf("late", begunMs + 2'000 + offsetMs), begunMs + 2'000);
+  clock.advance(5'000);
+  EXPECT_EQ(ages.startOf("late", begunMs + 2'000 + offsetMs), begunMs + 2'000) << "it is told once more";
+  EXPECT_EQ(ages.startOf("long ago", 0), std::nullopt);
+}
+
+// The machine that discovery takes its times from is set back.
+TEST(InstanceAges, WhatAppearsHasStartedSinceTheLastWordWhateverItIsToldWith) {
+  core::ManualClock clock;
+  InstanceAges ages(clock);
+  const double upSinceMs = 1e12;
+  ages.sees(upSinceMs);
+  ages.startOf("a", upSinceMs);
+  ages.heard();
+  const double heardMs = clock.nowMs();
+  clock.advance(2'000);
+  ages.sees(upSinceMs - 3'600'000);
+  EXPECT_EQ(ages.startOf("b", upSinceMs - 3'600'000), heardMs);
+  EXPECT_EQ(ages.startOf("a", upSinceMs - 3'600'000), heardMs) << "another start time is a new start";
+}
+
 // ---- DiscoveryBackoff ---------------------------------------------------------------------------
 
 // When each node asks in vain, from the same moment on: tries of all in each tenth of a second.
