Decide sends in one place with named reasons; check rules at run time; more fault tests

core/request_permits answers whether an attempt or a reservation may go out now and why not, and checks what does happen: repeats of an effect, second copies, refusals after an effect, sends past deadline or drain. Denials are counted by reason (attempts.denied.*); a broken rule is counted (invariants.violated.*) and logged with the request's id and history. Tests of whole sites fail on any violation. Listeners are non-blocking from the start: a door that closed before its first wait stood still in accept. A read that failed for lack of memory waits for readiness anew, as Asio waits for an edge that does not come.

--- a/soak/system_call_faults.cpp
+++ b/soak/system_call_faults.cpp
@@ -106,7 +106,7 @@
     if (rule.call != call || !names(rule, path)) continue;
     if (now < 0) now = monotonicMs();
     if (now < rule.fromMs || now >= rule.untilMs) continue;
-    if (++rules[i].seen % static_cast<std::uint64_t>(std::max(1, rule.every)) != 0) continue;
+    if (rules[i].seen++ % static_cast<std::uint64_t>(std::max(1, rule.every)) != 0) continue;
     ++hitCount;
     return &rule;
   }
--- a/soak/system_call_faults.h
+++ b/soak/system_call_faults.h
@@ -32,7 +32,7 @@
 struct Rule {
   Call call = Call::kReceive;
   int error = 0;      ///< errno of the failed call; 0: the call moves half of its bytes
-  int every = 1;      ///< each how-manieth call is hit
+  int every = 1;      ///< the first of so many calls is hit
   double fromMs = 0;  ///< by the monotonic clock
   double untilMs = 1e18;
   double stepMs = 0;   ///< of the wall clock
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// A drain is kept with this share of its grace to spare: connecting and a busy core take time.
-constexpr double kDrainShare = 0.8;
 // How long past deadline and grace the module may leave a request without an answer before the core gives
 // one.
 constexpr double kOverdueMs = 10;
@@ -48,6 +46,11 @@
   return "attempts.unknown";
 }
 
+bool provesNoRun(const Result& result) {
+  return result.outcome == Outcome::kNoConnection || result.outcome == Outcome::kNotSent ||
+         (result.outcome == Outcome::kFull && !result.doubtful);
+}
+
 }  // namespace
 
 Conductor::Conductor(const Settings& settings, std::uint64_t seed, const Clock& clock, Deadlines& deadlines,
@@ -64,10 +67,10 @@
 
 void Conductor::learn(const Settings& settings) {
   kindReads_.clear();
-  repeatsFreely_.clear();
   for (const KindSettings& kind : settings.kinds) kindReads_.push_back(kind.role == Role::kReader);
-  for (const ClassSettings& cls : settings.classes) repeatsFreely_.push_back(cls.effect == Effect::kSafe);
+  classes_ = settings.classes;
   secondCopies_ = settings.limits.secondCopies;
+  permits_.configure(toMs(settings.contract.drainGrace), secondCopies_);
 }
 
 void Conductor::reconfigure(const Settings& settings) {
@@ -78,6 +81,16 @@
   answerGraceMs_ = toMs(settings.contract.answerGrace);
 }
 
+RequestFacts Conductor::factsOf(ClassIndex index) const {
+  RequestFacts facts;
+  if (index.value >= classes_.size()) return facts;
+  const ClassSettings& cls = classes_[index.value];
+  facts.effect = cls.effect;
+  facts.repeatsFindFirst = cls.effect == Effect::kKeyed && cls.group == Group::kAll;
+  facts.repeatWindowMs = toMs(cls.dedupWindow);
+  return facts;
+}
+
 // ---- From clients ----------------------------------------------------------------------------------
 
 std::optional<RequestKey> Conductor::take(Arrival arrival, std::shared_ptr<const Payload> payload,
@@ -91,15 +104,16 @@
   figures_.taken(request.cls);
   request.payload = std::move(payload);
   request.answerer = std::move(answerer);
-  request.deadlineMs = clock_.nowMs() + toMs(arrival.timeLeft);
+  request.facts = factsOf(arrival.cls);
+  request.facts.deadlineMs = clock_.nowMs() + toMs(arrival.timeLeft);
   const RequestKey key = requests_.add(std::move(request));
   byId_[arrival.request] = key;
   ++unanswered_;
   // Guards the one final answer against a module that forgets a request.
   Request& r = *requests_.find(key);
-  r.overdue = deadlines_.add(r.deadlineMs + answerGraceMs_ + kOverdueMs, [this, key] {
+  r.overdue = deadlines_.add(r.facts.deadlineMs + answerGraceMs_ + kOverdueMs, [this, key] {
     Request* late = requests_.find(key);
-    if (late == nullptr || !late->answerer || late->streaming) return;
+    if (late == nullptr || !late->answerer || late->facts.streaming) return;
     late->overdue.reset();
     ++counters_["requests.overdue"];
     conclude(*late, Ending::kError)->fail({true});
@@ -121,7 +135,7 @@
 
 void Conductor::clientReady(RequestKey key) {
   const Request* r = requests_.find(key);
-  if (r != nullptr && r->streaming && attempts_.find(r->stream) != nullptr) engines_->resume(r->stream);
+  if (r != nullptr && r->facts.streaming && attempts_.find(r->stream) != nullptr) engines_->resume(r->stream);
 }
 
 // ---- From discovery --------------------------------------------------------------------------------
@@ -131,7 +145,7 @@
     const double now = clock_.nowMs();
     const auto tellOff = [now](Listing& listing, bool gone) {
       listing.gone = gone;
-      if (!listing.toldOffMs) listing.toldOffMs = now;
+      if (!listing.facts.toldOffMs) listing.facts.toldOffMs = now;
     };
     if (news.form != ListForm::kChanges) {
       std::set<EngineId> named;
@@ -143,7 +157,8 @@
       Listing& listing = fleet_[entry.engine];
       if (entry.presence == Presence::kActive) listing = Listing{};
       else tellOff(listing, entry.presence == Presence::kGone);
-      listing.reads = entry.kind.value < kindReads_.size() && kindReads_[entry.kind.value];
+      listing.facts.listed = true;
+      listing.facts.reads = entry.kind.value < kindReads_.size() && kindReads_[entry.kind.value];
     }
     forgetGone();
   }
@@ -152,12 +167,9 @@
 
 // ---- From the engines' side ------------------------------------------------------------------------
 
-// Guards the drain rule: time passes between the module's decision and the first byte.
-bool Conductor::within(const EngineId& engine) const {
+const InstanceFacts* Conductor::instance(const EngineId& engine) const {
   const auto told = fleet_.find(engine);
-  if (told == fleet_.end()) return false;
-  const std::optional<double>& since = told->second.toldOffMs;
-  return !since || clock_.nowMs() - *since < drainGraceMs_ * kDrainShare;
+  return told == fleet_.end() ? nullptr : &told->second.facts;
 }
 
 // Guards the table against a fleet whose machines are replaced all day, each under an id of its own. Past the
@@ -166,16 +178,18 @@
   const double before = clock_.nowMs() - drainGraceMs_;
   std::erase_if(fleet_, [before](const auto& entry) {
     const Listing& listing = entry.second;
-    return listing.gone && listing.toldOffMs && *listing.toldOffMs < before;
+    return listing.gone && listing.facts.toldOffMs && *listing.facts.toldOffMs < before;
   });
 }
 
-bool Conductor::mayHold(const EngineId& engine) const { return within(engine); }
+bool Conductor::mayHold(const EngineId& engine) const {
+  return permits_.toInstance(instance(engine), clock_.nowMs()) == Permit::kAllowed;
+}
 
 bool Conductor::needsNothingHeld(const RequestId& request) const {
   const auto it = byId_.find(request);
   const Request* r = it == byId_.end() ? nullptr : requests_.find(it->second);
-  return r == nullptr || r->streaming || !r->answerer;
+  return r == nullptr || r->facts.streaming || !r->answerer;
 }
 
 // Guards a refusal and the next send against a close that they overtake: until it is there, an attempt that
@@ -184,14 +198,31 @@
   return repeatsFreely(request) && !safeToo ? 0 : request.closedMs + kCloseMs;
 }
 
-bool Conductor::repeatsFreely(const Request& request) const {
-  return request.cls < repeatsFreely_.size() && repeatsFreely_[request.cls];
+bool Conductor::repeatsFreely(const Request& request) const { return request.facts.effect == Effect::kSafe; }
+
+// Time passes between the module's decision and the first byte.
+Permit Conductor::permitOf(AttemptKey key) {
+  const Attempt* a = attempts_.find(key);
+  if (a == nullptr) return Permit::kAnswered;
+  const RequestKey owner = a->request;
+  const Request& r = *requests_.find(owner);
+  return permits_.attempt(r.facts, instance(a->engine), toMs(a->before), clock_.nowMs(),
+                          [this, owner] { return clientPresent(owner); });
 }
 
 bool Conductor::maySend(AttemptKey key) {
-  const Attempt* a = attempts_.find(key);
-  if (a == nullptr || !within(a->engine) || toModuleTime(clock_.nowMs()) >= a->before) return false;
-  return clientWaits(a->request);
+  const Permit permit = permitOf(key);
+  if (permit != Permit::kAllowed) ++counters_[std::string("attempts.denied.") + nameOf(permit)];
+  return permit == Permit::kAllowed;
+}
+
+// Faults of this program: counted and told with the request's history, so that they can be traced.
+void Conductor::report(const std::vector<Violation>& violations, const Request& request) {
+  for (const Violation violation : violations) {
+    ++counters_[std::string("invariants.violated.") + nameOf(violation)];
+    log_(std::string("invariant violated: ") + nameOf(violation) + " by request " + request.id.value + ": " +
+         historyOf(request.facts, clock_.nowMs()));
+  }
 }
 
 bool Conductor::attemptIsWanted(AttemptKey key) {
@@ -202,7 +233,13 @@
 // A client's close may have come while its handler still waits for its turn: nothing begins for who has gone.
 bool Conductor::clientWaits(RequestKey key) {
   const Request* r = requests_.find(key);
-  if (r == nullptr || !r->answerer || clock_.nowMs() >= r->deadlineMs) return false;
+  if (r == nullptr || !r->answerer || clock_.nowMs() >= r->facts.deadlineMs) return false;
+  return clientPresent(key);
+}
+
+bool Conductor::clientPresent(RequestKey key) {
+  const Request* r = requests_.find(key);
+  if (r == nullptr || !r->answerer) return false;
   if (r->answerer->present()) return true;
   clientGone(key);
   return false;
@@ -214,13 +251,13 @@
   Request* r = requests_.find(a->request);
   if (!a->opened) {
     // The first event ties the request to this attempt; a later copy's stream is dropped.
-    if (!r->answerer || r->streaming) {
+    if (!r->answerer || r->facts.streaming) {
       engines_->abandon(key);
       close(key, {Outcome::kCancelled});
       return true;
     }
     a->opened = true;
-    r->streaming = true;
+    r->facts.streaming = true;
     r->stream = key;
     deadlines_.cancel(a->until);
     deadlines_.cancel(r->overdue);
@@ -242,7 +279,10 @@
 void Conductor::written(AttemptKey key) {
   const Attempt* a = attempts_.find(key);
   if (a == nullptr) return;
-  if (const Request* r = requests_.find(a->request)) figures_.tried(r->cls);
+  const Request* r = requests_.find(a->request);
+  if (r == nullptr) return;
+  figures_.tried(r->cls);
+  report(permits_.checkWritten(r->facts, instance(a->engine), clock_.nowMs()), *r);
 }
 
 void Conductor::ended(AttemptKey key, const Result& result) { close(key, result); }
@@ -273,7 +313,7 @@
 
 std::optional<Conductor::Stream> Conductor::streamOf(RequestKey key) const {
   const Request* r = requests_.find(key);
-  if (r == nullptr || !r->answerer || !r->streaming || r->out != 1) return std::nullopt;
+  if (r == nullptr || !r->answerer || !r->facts.streaming || r->out != 1) return std::nullopt;
   const Attempt* a = attempts_.find(r->stream);
   if (a == nullptr) return std::nullopt;
   return Stream{key, r->stream, r->told, a->engine};
@@ -295,7 +335,9 @@
   request.told = arrival;
   request.cls = arrival.cls.value;
   request.answerer = std::move(answerer);
-  request.streaming = true;
+  request.facts = factsOf(arrival.cls);
+  request.facts.streaming = true;
+  request.facts.attempts.push_back({.instance = engine.value, .sentMs = clock_.nowMs()});
   request.out = 1;
   figures_.taken(request.cls);
   ++counters_["requests.adopted"];
@@ -331,9 +373,13 @@
   // An answer that cannot be read is closed as well, and goes on at its engine perhaps.
   const bool spoilt = result.outcome == Outcome::kError && !repeatsFreely(r);
   if (calledOff || spoilt) r.closedMs = clock_.nowMs();
-  const auto listing = fleet_.find(a->engine);
+  const InstanceFacts* at = instance(a->engine);
   r.lastOutcome = nameOf(result.outcome) + std::string_view("attempts.").size();
-  r.lastAt = listing == fleet_.end() ? "" : listing->second.reads ? "_reading" : "_answering";
+  r.lastAt = at == nullptr ? "" : at->reads ? "_reading" : "_answering";
+  AttemptHistory& history = r.facts.attempts.at(static_cast<std::size_t>(a->number));
+  history.out = false;
+  history.outcome = r.lastOutcome;
+  history.mayHaveRun = !provesNoRun(result);
   AttemptEnded event{
       r.id,  a->number,         a->engine,        result.outcome, toModule(clock_.nowMs() - a->sentMs),
       false, result.keptTokens, result.stateGone, std::nullopt,   result.doubtful};
@@ -368,6 +414,7 @@
 // The one gate for final answers: whoever gets the answerer out of here is the only one to use it.
 std::shared_ptr<Answerer> Conductor::conclude(Request& request, Ending how) {
   figures_.ended(request.cls, how);
+  request.facts.answered = true;
   deadlines_.cancel(request.overdue);
   --unanswered_;
   return std::move(request.answerer);
@@ -434,22 +481,9 @@
       [this](const auto& what) {
         using What = std::decay_t<decltype(what)>;
         if constexpr (std::is_same_v<What, Refuse>) {
-          Request* r = byId(what.request);
-          if (r == nullptr || !r->answerer || r->streaming) return;
-          ++counters_["requests.refused"];
-          ++counters_[std::string("requests.refused_after.") + r->lastOutcome + r->lastAt];
-          const Refusal refusal{what.retryAfter ? std::optional(toMs(*what.retryAfter)) : std::nullopt,
-                                clock_.nowMs() >= r->deadlineMs};
-          const double after = closesArriveMs(*r, /*safeToo=*/false);
-          const std::shared_ptr<Answerer> answerer = conclude(*r, Ending::kShed);
-          if (clock_.nowMs() >= after) return answerer->refuse(refusal);
-          deadlines_.add(after, [answerer, refusal] { answerer->refuse(refusal); });
+          refuse(what);
         } else if constexpr (std::is_same_v<What, Fail>) {
-          Request* r = byId(what.request);
-          if (r == nullptr || !r->answerer || r->streaming) return;
-          ++counters_["requests.failed"];
-          const bool late = clock_.nowMs() >= r->deadlineMs;
-          conclude(*r, Ending::kError)->fail({late});
+          fail(what);
         } else if constexpr (std::is_same_v<What, Release>) {
           ++counters_["releases.sent"];
           engines_->release(what.request);
@@ -471,6 +505,28 @@
       action);
 }
 
+void Conductor::refuse(const Refuse& refuse) {
+  Request* r = byId(refuse.request);
+  if (r == nullptr || !r->answerer || r->facts.streaming) return;
+  ++counters_["requests.refused"];
+  ++counters_[std::string("requests.refused_after.") + r->lastOutcome + r->lastAt];
+  report(permits_.checkRefusal(r->facts), *r);
+  const Refusal refusal{refuse.retryAfter ? std::optional(toMs(*refuse.retryAfter)) : std::nullopt,
+                        clock_.nowMs() >= r->facts.deadlineMs};
+  const double after = closesArriveMs(*r, /*safeToo=*/false);
+  const std::shared_ptr<Answerer> answerer = conclude(*r, Ending::kShed);
+  if (clock_.nowMs() >= after) return answerer->refuse(refusal);
+  deadlines_.add(after, [answerer, refusal] { answerer->refuse(refusal); });
+}
+
+void Conductor::fail(const Fail& fail) {
+  Request* r = byId(fail.request);
+  if (r == nullptr || !r->answerer || r->facts.streaming) return;
+  ++counters_["requests.failed"];
+  const bool late = clock_.nowMs() >= r->facts.deadlineMs;
+  conclude(*r, Ending::kError)->fail({late});
+}
+
 void Conductor::carryOut(const Send& send) {
   Request* r = byId(send.request);
   if (r == nullptr) return;
@@ -482,15 +538,19 @@
   attempt.sentMs = clock_.nowMs();
   attempt.before = send.before;
   const AttemptKey key = attempts_.add(std::move(attempt));
+  const InstanceFacts* at = instance(send.engine);
+  report(permits_.checkAttempt(r->facts), *r);
   r->attempts.push_back(key);
+  r->facts.attempts.push_back(
+      {.instance = send.engine.value, .reads = at != nullptr && at->reads, .sentMs = clock_.nowMs()});
   ++r->out;
   ++outAt_[send.engine];
   ++counters_["attempts.sent"];
-  const double until = std::min(toMs(send.until) > 0 ? toMs(send.until) : r->deadlineMs, r->deadlineMs);
-  if (!maySend(key) || r->streaming) return close(key, {Outcome::kNotSent});
+  const double until =
+      std::min(toMs(send.until) > 0 ? toMs(send.until) : r->facts.deadlineMs, r->facts.deadlineMs);
+  if (!maySend(key)) return close(key, {Outcome::kNotSent});
   attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
-  const auto listing = fleet_.find(send.engine);
-  const bool reads = listing != fleet_.end() && listing->second.reads;
+  const bool reads = at != nullptr && at->reads;
   engines_->start({key, r->id, send.engine, r->payload, until, reads, closesArriveMs(*r, !secondCopies_)});
 }
 
@@ -514,7 +574,7 @@
 
 void Conductor::carryOut(const MoveStream& move) {
   const Request* r = byId(move.request);
-  if (r == nullptr || !r->streaming) return;
+  if (r == nullptr || !r->facts.streaming) return;
   moveOnceRead(r->stream, kMoveLooks);
 }
 
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -17,6 +17,7 @@
 #include "core/deadlines.h"
 #include "core/figures.h"
 #include "core/ports.h"
+#include "core/request_permits.h"
 #include "core/slots.h"
 #include "leverrelay/router.h"
 
@@ -88,10 +89,9 @@
   }
 
  private:
-  struct Listing {                    // what the list last said of an engine
-    std::optional<double> toldOffMs;  // when it said that the engine drains or is gone
+  struct Listing {  // what the list last said of an engine
+    InstanceFacts facts;
     bool gone = false;
-    bool reads = false;  // a reader: what is tried there has no effect
   };
   struct Attempt {
     RequestKey request;
@@ -110,9 +110,8 @@
     std::shared_ptr<Answerer> answerer;  // none once the final answer is given or the client is gone
     std::vector<AttemptKey> attempts;
     std::size_t out = 0;
-    double deadlineMs = 0;
+    RequestFacts facts;
     double closedMs = 0;  // when a connection of an attempt was last closed from this side
-    bool streaming = false;
     AttemptKey stream;
     // Of its last attempt that ended: the names of its outcome, and of what kind of engine that was at.
     const char *lastOutcome = "nothing_sent", *lastAt = "";
@@ -120,7 +119,14 @@
   };
 
   bool clientWaits(RequestKey key);
+  bool clientPresent(RequestKey key);
+  Permit permitOf(AttemptKey key);
+  const InstanceFacts* instance(const leverrelay::EngineId& engine) const;
+  void report(const std::vector<Violation>& violations, const Request& request);
+  void refuse(const leverrelay::Refuse& refuse);
+  void fail(const leverrelay::Fail& fail);
   void learn(const leverrelay::Settings& settings);
+  RequestFacts factsOf(leverrelay::ClassIndex cls) const;
   bool repeatsFreely(const Request& request) const;
   double closesArriveMs(const Request& request, bool safeToo) const;
   void post(leverrelay::Event event);
@@ -138,7 +144,6 @@
   void callOffAll(RequestKey key);
   std::shared_ptr<Answerer> conclude(Request& request, Ending how);
   void forgetIfDone(RequestKey key);
-  bool within(const leverrelay::EngineId& engine) const;
   void forgetGone();
 
   const Clock& clock_;
@@ -146,8 +151,9 @@
   Counters& counters_;
   leverrelay::Router router_;
   double drainGraceMs_, answerGraceMs_;
-  std::vector<bool> kindReads_;      // by kind of engine
-  std::vector<bool> repeatsFreely_;  // by class
+  RequestPermits permits_;
+  std::vector<bool> kindReads_;  // by kind of engine
+  std::vector<leverrelay::ClassSettings> classes_;
   bool secondCopies_ = false;
   Engines* engines_ = nullptr;
   std::function<void(const std::string&)> log_ = [](const std::string&) {};
--- a/src/net/line_server.cpp
+++ b/src/net/line_server.cpp
@@ -103,6 +103,7 @@
       deadlines_(deadlines),
       counters_(counters),
       limits_(limits) {
+  acceptor_.non_blocking(true);
   accept();
 }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -119,6 +119,7 @@
       ledger_(options.ledger),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {
   acceptor_.open(address.protocol());
+  acceptor_.non_blocking(true);
   acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
   if (options.sharedPort) {
     using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -206,11 +206,17 @@
                                });
 }
 
-// This machine lacked memory or buffers: what has come is still there.
+// This machine lacked memory or buffers: what has come is still there. Asio takes a read that moved nothing for
+// a sign that nothing is there; readiness, asked for anew, tells it otherwise.
 void Call::readLater() {
   readRetry_ = pool_.deadlines_.add(pool_.clock_.nowMs() + kResourceRetryMs, [self = shared_from_this()] {
-    self->readRetry_.reset();
-    if (self->state_ == State::kHead || self->state_ == State::kBody) self->read();
+    if (self->state_ != State::kHead && self->state_ != State::kBody) return;
+    const auto link = self->link_;
+    link->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                            [self, link](const boost::system::error_code&) {
+                              self->readRetry_.reset();
+                              if (self->state_ == State::kHead || self->state_ == State::kBody) self->read();
+                            });
   });
 }
 
--- a/tests/network_faults_test.cpp
+++ b/tests/network_faults_test.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 
 #include "../soak/system_call_faults.h"
+#include "net/line_server.h"
 #include "net/listener.h"
 #include "net/pool.h"
 #include "support/stage.h"
@@ -19,7 +20,8 @@
 struct Faults {
   explicit Faults(std::vector<Rule> rules) { system_call_faults::install(std::move(rules)); }
   ~Faults() { system_call_faults::clear(); }
-  static bool happened() { return system_call_faults::hits() > 0; }
+  static std::uint64_t hits() { return system_call_faults::hits(); }
+  static bool happened() { return hits() > 0; }
 };
 
 const std::string kRequest =
@@ -102,6 +104,110 @@
   }
 }
 
+// An accept that meets a connection that has gone must not leave the next one in the queue.
+TEST(ListenerUnderFaults, WhoStandsBehindAnAbortedConnectionIsServed) {
+  Door door;
+  const auto client = door.client();
+  client->write(kRequest);
+  const Faults faults({{.call = Call::kAccept, .error = ECONNABORTED, .every = 2}});
+  const auto second = door.client();
+  second->write(kRequest);
+  EXPECT_TRUE(door.answered(*client));
+  EXPECT_TRUE(door.answered(*second));
+}
+
+// Refused for lack of descriptors, clients are told so, also once the spare descriptor was lost for a while.
+TEST(ListenerUnderFaults, TheSpareDescriptorComesBack) {
+  Door door;
+  const auto refusedUnder = [&](std::vector<Rule> rules) {
+    const Faults faults(std::move(rules));
+    const auto client = door.client();
+    return door.until([&] {
+      door.pass(20);
+      return client->ended() || Faults::hits() > 40;
+    }) && countOf(client->seen, "HTTP/1.1 503") == 1;
+  };
+  const Rule full{.call = Call::kAccept, .error = EMFILE, .every = 2};
+  refusedUnder({full, {.call = Call::kOpen, .error = ENFILE, .path = "/dev/null"}});
+  EXPECT_TRUE(refusedUnder({full}));
+}
+
+TEST(ListenerUnderFaults, TheAdminEndpointAnswersWholeAndBehindAbortedConnections) {
+  Stage stage;
+  const std::string text(20'000, 'x');
+  LineServer server(
+      stage.io, anyPort(), [&](std::string_view) { return text; }, stage.clock, stage.deadlines,
+      stage.counters);
+  const Faults faults({{.call = Call::kAccept, .error = ECONNABORTED, .every = 2},
+                       {.call = Call::kSend, .error = 0, .every = 1}});
+  RawPeer first(stage.io), second(stage.io);
+  for (RawPeer* peer : {&first, &second}) peer->connect(server.address());
+  for (RawPeer* peer : {&first, &second}) peer->write("figures\n");
+  for (RawPeer* peer : {&first, &second}) {
+    EXPECT_TRUE(stage.until([&] { return peer->ended(); }));
+    EXPECT_EQ(peer->seen, text);
+  }
+}
+
+// ---- Answers -----------------------------------------------------------------------------------------
+
+const std::vector<Rule> kSendFaults{{.call = Call::kSend, .error = 0},
+                                    {.call = Call::kSend, .error = EINTR, .every = 2},
+                                    {.call = Call::kSend, .error = ENOBUFS, .every = 2}};
+
+TEST(AnswerUnderFaults, IsWholeHoweverLittleEachCallTakes) {
+  for (const Rule& rule : kSendFaults) {
+    SCOPED_TRACE(rule.error);
+    Door door;
+    const std::string body(200'000, 'y');
+    door.box.script = [&](StandInBox&, StandInBox::Taken& taken) { taken.connection->answer(200, {}, body); };
+    const auto client = door.client();
+    client->write(kRequest);
+    const Faults faults({rule});
+    EXPECT_TRUE(door.until([&] {
+      client->ended();
+      return client->seen.size() > body.size();
+    }));
+    EXPECT_TRUE(Faults::happened());
+  }
+}
+
+// The answer to who is sent away is not cut and not reset out of the client's hands.
+TEST(AnswerUnderFaults, WhoIsTurnedAwayReadsWhy) {
+  for (const Rule& rule : {Rule{.call = Call::kSend, .error = EINTR, .every = 2}, Rule{.call = Call::kSend},
+                           Rule{.call = Call::kReceive, .error = EINTR, .every = 2}}) {
+    SCOPED_TRACE(static_cast<int>(rule.call));
+    Stage stage;
+    StandInBox handler(stage.io, stage.clock, stage.deadlines);
+    core::Counters counters;
+    Listener listener(stage.io, anyPort(), 0, handler, stage.clock, stage.deadlines, counters);
+    RawPeer client(stage.io);
+    client.connect(listener.address());
+    client.write(kRequest);
+    const Faults faults({rule});
+    listener.drain(0, [] {});
+    EXPECT_TRUE(stage.until([&] { return client.ended(); }));
+    EXPECT_EQ(countOf(client.seen, "HTTP/1.1 503"), 1) << client.seen;
+    EXPECT_NE(client.seen.find("too many connections\n"), std::string::npos) << client.seen;
+  }
+}
+
+// A look that was interrupted does not say that nothing is there.
+TEST(AnswerUnderFaults, AConnectionWithARequestInItIsNotClosedToMakeRoom) {
+  Door door;
+  const auto client = door.client();
+  client->write(kRequest);
+  ASSERT_TRUE(door.answered(*client));
+  const std::shared_ptr<ClientConnection> connection = door.box.taken.front()->connection;
+  ASSERT_TRUE(door.until([&] { return connection->state() == ClientConnection::State::kIdle; }));
+  client->write(kRequest);
+  {
+    const Faults faults({{.call = Call::kReceive, .error = EINTR, .every = 2}});
+    for (int i = 0; i < 4; ++i) connection->giveWay();
+  }
+  EXPECT_TRUE(door.answered(*client, 2));
+}
+
 // ---- Calls to instances ------------------------------------------------------------------------------
 
 struct Calls : Stage {
@@ -144,5 +250,39 @@
   }
 }
 
+TEST(CallUnderFaults, GoesThroughWhateverIsInterruptedShortOrOutOfMemory) {
+  const std::vector<std::vector<Rule>> plans{{{.call = Call::kConnect, .error = EINTR}},
+                                             {kSendFaults[0]},
+                                             {kSendFaults[1]},
+                                             {kSendFaults[2]},
+                                             {{.call = Call::kReceive, .error = ENOMEM, .every = 2}},
+                                             {{.call = Call::kReceive, .error = EINTR, .every = 2}}};
+  for (std::size_t i = 0; i < plans.size(); ++i) {
+    SCOPED_TRACE(i);
+    Calls calls;
+    const auto body = std::make_shared<const std::string>(50'000, 'b');
+    const std::string head =
+        headText("POST / HTTP/1.1", {{"Host", "x"}, {"Content-Length", std::to_string(body->size())}});
+    const Faults faults(plans[i]);
+    calls.pool.call(calls.peer.address(), head, body, calls.reply);
+    ASSERT_TRUE(calls.until([&] { return calls.reply->wasWritten || calls.reply->over; }));
+    ASSERT_FALSE(calls.reply->over);
+    const std::uint64_t hits = Faults::hits();
+    system_call_faults::clear();  // the peer's own calls block
+    calls.peer.accept();
+    std::string came;
+    while (came.size() < head.size() + body->size()) came += calls.peer.readSome();
+    EXPECT_EQ(came, head + *body);
+    calls.peer.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    system_call_faults::install(plans[i]);
+    EXPECT_TRUE(calls.until([&] {
+      calls.pass(1);
+      return calls.reply->over;
+    }));
+    EXPECT_TRUE(calls.reply->whole);
+    EXPECT_GT(hits + Faults::hits(), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace dahliastall::net
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -53,7 +53,11 @@
     clients = std::make_unique<net::Pool>(io, clock, boxDeadlines, ownCounters,
                                           net::Pool::Limits{100, 1000, 100'000});
   }
-  ~Site() { clients.reset(); }
+  ~Site() {
+    clients.reset();
+    for (const auto& [name, value] : engine->counters.all())
+      if (name.rfind("invariants.violated.", 0) == 0) ADD_FAILURE() << name << " " << value;
+  }
 
   static std::string text(const net::Endpoint& at) {
     return at.address().to_string() + ":" + std::to_string(at.port());
