Add dahliastall_soak: real processes under drawn, overlapping troubles, judged by ledgers

Conductors are the real program with system call faults preloaded; instances, discovery and clients are emulated in one process. A plan is drawn from a seed, kept as text, replayed and shrunk. The judge asks only what clients, instances and discovery saw.

Not tried yet on a program with planted faults.

--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,58 @@
+/// What clients, instances and discovery of the soak saw, and the rules judged from that alone: the logs of
+/// the program are not asked.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dahliastall::soak {
+
+/// A request as it reached an instance.
+struct Arrival {
+  double atMs = 0;
+  int instance = 0;
+  double budgetMs = 0;                ///< that the conductor told
+  bool rejected = false;              ///< the instance proved that it did not run
+  bool reads = false;                 ///< a prefill instance, where nothing has an effect
+  std::optional<double> drainToldMs;  ///< when the conductor's watch had been told that the instance drains
+};
+
+/// A request as its client saw it.
+struct ClientView {
+  bool atMostOnce = false;
+  double sentMs = 0;
+  double budgetMs = 0;
+  int conductor = 0;
+  std::optional<double> goneMs;      ///< when the client closed
+  std::optional<double> answeredMs;  ///< when the answer had ended
+  unsigned status = 0;
+  bool whole = false;      ///< of a status 200: the stream came to its end
+  bool undecided = false;  ///< its conductor was killed, or stopped, while it was open
+  std::vector<Arrival> arrivals;
+};
+
+struct Break {
+  std::string rule, request, detail;
+};
+
+class Ledger {
+ public:
+  ClientView& of(const std::string& request) { return requests_[request]; }
+  bool knows(const std::string& request) const { return requests_.count(request) != 0; }
+  /// Rules about processes, which are not told by requests.
+  void breaks(std::string rule, std::string detail) {
+    process_.push_back({std::move(rule), "", std::move(detail)});
+  }
+  std::vector<Break> judge(double drainGraceMs) const;
+  std::size_t size() const { return requests_.size(); }
+  std::size_t undecided() const;
+  std::size_t served() const;
+
+ private:
+  std::map<std::string, ClientView> requests_;
+  std::vector<Break> process_;
+};
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,122 @@
+/// dahliastall_soak: plays conductors as real processes under drawn troubles and judges them by their rules.
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+#include "world.h"
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace dahliastall::soak;
+
+constexpr const char* kUsage =
+    "usage: dahliastall_soak run --first SEED --last SEED [options]\n"
+    "       dahliastall_soak replay --plan FILE [options]\n"
+    "       dahliastall_soak shrink --plan FILE [options]\n";
+
+struct Session {
+  Programs programs;
+  std::string out;
+};
+
+Outcome playInto(const Plan& plan, const Session& session) {
+  const std::string folder = session.out + "/" + std::to_string(plan.seed);
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder + "/plan.json") << textOf(plan) << '\n';
+  const Outcome outcome = play(plan, session.programs, folder);
+  std::ofstream report(folder + "/breaks");
+  for (const Break& one : outcome.breaks)
+    report << one.rule << ' ' << one.request << ": " << one.detail << '\n';
+  if (outcome.breaks.empty()) std::filesystem::remove_all(folder);
+  return outcome;
+}
+
+void tell(const Plan& plan, const Outcome& outcome) {
+  std::cout << "seed " << plan.seed << ": " << outcome.requests << " requests, " << outcome.served
+            << " served, " << outcome.undecided << " undecided, " << outcome.breaks.size() << " breaks"
+            << std::endl;
+  std::map<std::string, int> byRule;
+  for (const Break& one : outcome.breaks)
+    if (++byRule[one.rule] <= 3)
+      std::cout << "  " << one.rule << ' ' << one.request << ": " << one.detail << '\n';
+}
+
+Plan readPlan(const std::string& path) {
+  std::ifstream file(path);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  const auto plan = planOf(text);
+  if (!plan) throw std::runtime_error("no plan can be read from " + path);
+  return *plan;
+}
+
+int run(const options::variables_map& given, const Session& session) {
+  int broken = 0;
+  for (std::uint64_t seed = given["first"].as<std::uint64_t>(); seed <= given["last"].as<std::uint64_t>();
+       ++seed) {
+    const Plan plan = drawPlan(seed, given["conductors"].as<int>(), given["instances"].as<int>(),
+                               given["length-ms"].as<double>());
+    const Outcome outcome = playInto(plan, session);
+    tell(plan, outcome);
+    broken += !outcome.breaks.empty();
+  }
+  std::cout << broken << " seeds broke a rule\n";
+  return broken == 0 ? 0 : 1;
+}
+
+// Drops troubles one by one while the same rule still breaks.
+void shrink(Plan plan, const Session& session) {
+  const Outcome whole = playInto(plan, session);
+  if (whole.breaks.empty()) throw std::runtime_error("the plan breaks no rule");
+  const std::string rule = whole.breaks.front().rule;
+  for (std::size_t i = plan.troubles.size(); i-- > 0;) {
+    Plan less = plan;
+    less.troubles.erase(less.troubles.begin() + static_cast<std::ptrdiff_t>(i));
+    const Outcome outcome = playInto(less, session);
+    const bool still = std::any_of(outcome.breaks.begin(), outcome.breaks.end(),
+                                   [&](const Break& one) { return one.rule == rule; });
+    if (still) plan = less;
+  }
+  std::cout << textOf(plan) << '\n';
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  options::options_description known("options");
+  known.add_options()("command", options::value<std::string>(), "run, replay or shrink")(
+      "first", options::value<std::uint64_t>()->default_value(1), "first seed")(
+      "last", options::value<std::uint64_t>()->default_value(1), "last seed")(
+      "plan", options::value<std::string>(), "file of a plan")(
+      "conductors", options::value<int>()->default_value(24), "processes")(
+      "instances", options::value<int>()->default_value(30), "emulated instances")(
+      "length-ms", options::value<double>()->default_value(12'000), "of a seed, in real time")(
+      "out", options::value<std::string>()->default_value("soak-out"), "folder for plans and logs of breaks")(
+      "program", options::value<std::string>()->required(), "path of dahliastall")(
+      "faults", options::value<std::string>()->required(), "path of the library of system call faults");
+  options::positional_options_description first;
+  first.add("command", 1);
+  try {
+    options::variables_map given;
+    options::store(options::command_line_parser(argc, argv).options(known).positional(first).run(), given);
+    if (given.count("command") == 0) throw std::runtime_error("no command");
+    options::notify(given);
+    const Session session{{given["program"].as<std::string>(), given["faults"].as<std::string>()},
+                          std::filesystem::absolute(given["out"].as<std::string>()).string()};
+    const auto command = given["command"].as<std::string>();
+    if (command == "run") return run(given, session);
+    const Plan plan = readPlan(given["plan"].as<std::string>());
+    if (command == "shrink") return shrink(plan, session), 0;
+    if (command != "replay") throw std::runtime_error("no such command");
+    const Outcome outcome = playInto(plan, session);
+    tell(plan, outcome);
+    return outcome.breaks.empty() ? 0 : 1;
+  } catch (const std::exception& fault) {
+    std::cerr << "dahliastall_soak: " << fault.what() << '\n' << kUsage << known;
+    return 2;
+  }
+}
--- /dev/null
+++ b/soak/plan.h
@@ -0,0 +1,45 @@
+/// What happens in one seed of the soak: faults and signals, each with its moment. Drawn from the seed alone,
+/// and kept as text, so that a play can be repeated and made smaller.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dahliastall::soak {
+
+enum class Trouble {
+  kSystemCalls,    ///< calls of one conductor fail, in its preloaded library
+  kTerminate,      ///< SIGTERM, and a successor
+  kKill,           ///< SIGKILL, and a successor
+  kStop,           ///< SIGSTOP for a while
+  kReload,         ///< SIGHUP
+  kDrain,          ///< an instance begins to drain
+  kHang,           ///< an instance answers nothing for a while
+  kReset,          ///< an instance resets what it has for a while
+  kReject,         ///< an instance turns requests away for a while
+  kDiscoveryDown,  ///< watches are closed and none is answered for a while
+};
+const char* nameOf(Trouble trouble);
+
+struct PlannedTrouble {
+  Trouble trouble = Trouble::kHang;
+  int target = 0;  ///< number of the conductor or instance
+  double atMs = 0;
+  double forMs = 0;
+  std::string rule;  ///< of kSystemCalls: call, fault and share as the library's plan has them
+};
+
+struct Plan {
+  std::uint64_t seed = 0;
+  int conductors = 24, instances = 30, clients = 4;  ///< clients of each conductor
+  double lengthMs = 12'000;
+  std::vector<PlannedTrouble> troubles;
+};
+
+Plan drawPlan(std::uint64_t seed, int conductors, int instances, double lengthMs);
+std::string textOf(const Plan& plan);
+std::optional<Plan> planOf(const std::string& text);
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/settings.cpp
@@ -0,0 +1,25 @@
+#include "settings.h"
+
+namespace dahliastall::soak {
+
+nlohmann::json settings() {
+  return nlohmann::json::parse(R"({
+    "me":0,"peersTotal":24,"tickMs":2.0,"discovery":"push","zones":["z"],"myZone":"z","countedBy":"work",
+    "kinds":["reader","writer","mixed"],
+    "familyInfo":{"dutyByKind":["read","write","both"],"memoryTokens":[200000,100000,150000],"ahead":true,
+      "releaseMs":300.0,"resume":false,"writersRead":true,"tokenAimMs":[70.0,50.0],
+      "aimUsPer1000PromptTokens":[40000.0,60000.0],"moveFee":0.02},
+    "grades":[
+      {"name":"ask","effect":"idempotent","stream":true,"worth":1.0,"goalTimeMs":1000.0,
+       "hardLimitMs":3000.0,"lateShare":0.2},
+      {"name":"change","effect":"at_most_once","stream":true,"worth":2.0,"goalTimeMs":1000.0,
+       "hardLimitMs":3000.0,"lateShare":0.3}],
+    "orgs":[{"name":"club","share":1.0,"allowancePerS":200.0}],
+    "contract":{"askWithinMs":10000.0,"coldFrom":0.3,"coldMs":13000.0,"drainGraceMs":1000.0,"fallMs":1500.0,
+      "graceToAnswerMs":8.0,"overloadFactor":2.5},
+    "limits":{"cancel":true,"peers":false,"probing":false,"secondCopies":false,"retryAfter":true,
+      "maxAttempts":4,"maxRetryAfterMs":2000.0,"dialTimeoutMs":250.0,"idleCloseMs":30000.0},
+    "report":{"how":"off"}})");
+}
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/settings.h
@@ -0,0 +1,19 @@
+/// The deployment that the soak plays.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "net/endpoint.h"
+
+namespace dahliastall::soak {
+
+inline constexpr double kDrainGraceMs = 1'000;
+
+inline std::string textOf(const net::Endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+nlohmann::json settings();
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/world.h
@@ -0,0 +1,23 @@
+/// One play of the soak: conductors as real processes between emulated instances, discovery and clients,
+/// under the troubles of a plan.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "conductor_process.h"
+#include "ledger.h"
+#include "plan.h"
+
+namespace dahliastall::soak {
+
+struct Outcome {
+  std::vector<Break> breaks;
+  std::size_t requests = 0, served = 0, undecided = 0;
+};
+
+/// Plays a plan in an empty folder, in which logs are left.
+Outcome play(const Plan& plan, const Programs& programs, const std::string& folder);
+
+}  // namespace dahliastall::soak
