Soak: processes inherit no socket of the emulator, arrivals count from their first byte

A conductor that was started meanwhile had inherited the client's socket, so that the emulator's close did not end it. The fault was the emulator's.

--- a/soak/conductor_process.cpp
+++ b/soak/conductor_process.cpp
@@ -48,6 +48,8 @@
   const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(file, STDOUT_FILENO);
   ::dup2(file, STDERR_FILENO);
+  // A socket of the emulator's that lived on here would stay open as the emulator closes it.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   std::string program = programs_.conductor, word = "serve";
   char* const words[] = {program.data(), word.data(), nullptr};
   ::execve(program.c_str(), words, environment.data());
--- a/soak/emulator.cpp
+++ b/soak/emulator.cpp
@@ -41,20 +41,20 @@
 }
 
 void Instance::request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&& request,
-                       double) {
+                       double arrivedMs) {
   const std::string target(request.target());
-  if (target.rfind("/bootstrap/", 0) != 0) return attempt(connection, request);
+  if (target.rfind("/bootstrap/", 0) != 0) return attempt(connection, request, arrivedMs);
   if (behaviour_ == Behaviour::kHangs) return;
   connection->answer(request.method_string() == "DELETE" ? 204 : 200, {}, "");
 }
 
 void Instance::attempt(const std::shared_ptr<net::ClientConnection>& connection,
-                       const net::HttpRequest& request) {
+                       const net::HttpRequest& request, double arrivedMs) {
   const std::string id(request["X-Call-Id"]);
   if (!stage_.ledger.knows(id))
     stage_.ledger.breaks("unknown", "an attempt with an id that no client sent: " + id);
   ClientView& view = stage_.ledger.of(id);
-  view.arrivals.push_back({.atMs = stage_.clock.nowMs(),
+  view.arrivals.push_back({.atMs = arrivedMs,
                            .instance = number_,
                            .budgetMs = std::atof(std::string(request["X-Budget-Ms"]).c_str()),
                            .rejected = behaviour_ == Behaviour::kRejects,
--- a/soak/emulator.h
+++ b/soak/emulator.h
@@ -49,7 +49,8 @@
   net::Endpoint address() const { return listener_.address(); }
 
  private:
-  void attempt(const std::shared_ptr<net::ClientConnection>& connection, const net::HttpRequest& request);
+  void attempt(const std::shared_ptr<net::ClientConnection>& connection, const net::HttpRequest& request,
+               double arrivedMs);
   void serve(const std::shared_ptr<net::ClientConnection>& connection);
   void stream(const std::shared_ptr<net::ClientConnection>& connection, int left);
 
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -34,7 +34,9 @@
       add("lost", "answered " + number(*view.answeredMs - view.sentMs - view.budgetMs) + " ms late");
     for (const Arrival& arrival : view.arrivals) {
       if (view.goneMs && arrival.atMs > *view.goneMs + kGoneSlackMs)
-        add("gone", "begun " + number(arrival.atMs - *view.goneMs) + " ms after the client left");
+        add("gone", "begun " + number(arrival.atMs - *view.goneMs) + " ms after the client left, " +
+                        number(*view.goneMs - view.sentMs) + " ms after it had sent, at instance " +
+                        std::to_string(arrival.instance));
       const double leftMs = view.sentMs + view.budgetMs - arrival.atMs;
       if (arrival.budgetMs > std::max(0.0, leftMs) + kBudgetSlackMs)
         add("deadline", "told " + number(arrival.budgetMs) + " of " + number(leftMs) + " ms");
