--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -206,8 +206,8 @@
                                });
 }
 
-// This machine lacked memory or buffers: what has come is still there. Asio takes a read that moved nothing for
-// a sign that nothing is there; readiness, asked for anew, tells it otherwise.
+// This machine lacked memory or buffers: what has come is still there. Asio takes a read that moved nothing
+// for a sign that nothing is there; readiness, asked for anew, tells it otherwise.
 void Call::readLater() {
   readRetry_ = pool_.deadlines_.add(pool_.clock_.nowMs() + kResourceRetryMs, [self = shared_from_this()] {
     if (self->state_ != State::kHead && self->state_ != State::kBody) return;
