A failing test: a malformed list changes the ages of instances

Discovery::apply() hands start times to InstanceAges before the whole list has been read, against its own rule that a malformed list changes nothing. A start an hour ahead in such a list makes every later instance look older, up to the last word of discovery.

--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -911,6 +911,24 @@
 
 // Zones, kinds and cells are those that the settings and the list name, however many; a phase that is not
 // known is none to send to.
+// What it says of starts, before the part that makes no sense, is no evidence of discovery's clock either.
+TEST(DiscoveryWatch, AListThatIsMalformedFixesNoAge) {
+  Watching watching;
+  std::optional<leverrelay::Time> started;
+  watching.conductor.onEvent([&](const leverrelay::Event& event) {
+    if (const auto* news = std::get_if<leverrelay::ListNews>(&event)) started = news->entries.back().started;
+  });
+  constexpr double kTold = 1e12;
+  ASSERT_TRUE(watching.discovery.line(lineOf(1, true, json::array({memberOf(1, "active", 9, kTold)}))));
+  const double firstMs = watching.clock.nowMs();
+  watching.clock.advance(1'000);
+  const json bad = json::array({memberOf(1, "active", 9, kTold + 3'600'000), json{{"id", 7}}});
+  ASSERT_FALSE(watching.discovery.line(lineOf(2, false, bad)));
+  ASSERT_TRUE(
+      watching.discovery.line(lineOf(3, false, json::array({memberOf(1, "active", 9, kTold + 500)}))));
+  EXPECT_EQ(started, core::toModuleTime(firstMs + 500));
+}
+
 TEST(DiscoveryWatch, TellsZonesKindsCellsAndPhasesByTheSettingsNames) {
   json settings = siteSettings();
   settings["zones"] = {"near", "far", "farthest"};
