Read a list whole before ages are taken from it, in one function

fixAges() sets all ages once a list has been read, where the loop and a second pass did parts of it before. Starts in zones that the settings do not name are no evidence any more, which makes no instance older.

--- a/src/fronts/platform/discovery.cpp
+++ b/src/fronts/platform/discovery.cpp
@@ -190,26 +190,16 @@
   return false;
 }
 
-leverrelay::ListEntry Discovery::entryOf(const json& member, std::uint32_t zone) {
-  const std::string id = member.at("id").get<std::string>();
-  const auto started = ages_.startOf(id, member.value("up_since_ms", 0.0));
-  return {
-      .engine = {id},
-      .zone = {zone},
-      .kind = {placeOf(names_.kinds, member.at("flavor").get<std::string>())},
-      .cell = {member.value("cell", 0U)},
-      .presence = presenceOf(member.at("phase").get<std::string>()),
-      .weight = member.value("size", 1.0),
-      .started = started ? std::optional(core::toModuleTime(*started)) : std::nullopt,
-  };
-}
-
 // An instance that leaves and comes back is a new one, whatever start time it has.
-void Discovery::forgetAges(const ListNews& news) {
+void Discovery::fixAges(ListNews& news, const std::map<EngineId, Box>& told) {
+  for (const auto& [id, box] : told) ages_.sees(box.startedMs);
   std::set<std::string> listed;
-  for (const ListEntry& entry : news.entries) {
-    if (entry.presence == Presence::kGone) ages_.forget(entry.engine.value);
-    listed.insert(entry.engine.value);
+  for (ListEntry& entry : news.entries) {
+    const std::string& id = entry.engine.value;
+    const auto started = ages_.startOf(id, told.at(entry.engine).startedMs);
+    if (started) entry.started = core::toModuleTime(*started);
+    if (entry.presence == Presence::kGone) ages_.forget(id);
+    listed.insert(id);
   }
   if (news.form != ListForm::kChanges) ages_.keepOnly(listed);
 }
@@ -221,19 +211,26 @@
   const bool whole = list.value("complete", false);
   news.form = form.value_or(whole ? ListForm::kFull : ListForm::kChanges);
   std::map<EngineId, Box> named;
-  for (const json& member : list.at("members")) ages_.sees(member.value("up_since_ms", 0.0));
   for (const json& member : list.at("members")) {
     const std::uint32_t zone = placeOf(names_.zones, member.at("locality").get<std::string>());
     if (zone == names_.zones.size()) continue;  // of a zone that the settings do not name
-    ListEntry entry = entryOf(member, zone);
+    const EngineId id{member.at("id").get<std::string>()};
     Box box;
     box.address = endpointOf(member.at("host_port").get<std::string>());
-    box.presence = entry.presence;
+    box.presence = presenceOf(member.at("phase").get<std::string>());
     box.startedMs = member.value("up_since_ms", 0.0);
-    named[entry.engine] = box;
-    news.entries.push_back(std::move(entry));
+    news.entries.push_back({
+        .engine = id,
+        .zone = {zone},
+        .kind = {placeOf(names_.kinds, member.at("flavor").get<std::string>())},
+        .cell = {member.value("cell", 0U)},
+        .presence = box.presence,
+        .weight = member.value("size", 1.0),
+        .started = std::nullopt,
+    });
+    named[id] = box;
   }
-  forgetAges(news);
+  fixAges(news, named);
   directory_.update(named, news.form != ListForm::kChanges, boxes_);
   revision_ = news.version;
   ++counters_["discovery.lists"];
--- a/src/fronts/platform/discovery.h
+++ b/src/fronts/platform/discovery.h
@@ -50,8 +50,8 @@
   void openLater();
   void leaveNext();
   void apply(const nlohmann::json& list, std::optional<leverrelay::ListForm> form);
-  void forgetAges(const leverrelay::ListNews& news);
-  leverrelay::ListEntry entryOf(const nlohmann::json& member, std::uint32_t zone);
+  // Sets when the instances of a list started, from the start times that it tells.
+  void fixAges(leverrelay::ListNews& news, const std::map<leverrelay::EngineId, Box>& told);
 
   const core::Clock& clock_;
   core::Deadlines& deadlines_;
