--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -67,14 +67,14 @@
   // Asks whether a conductor is ready, again and again.
   class ReadyCall final : public net::CallSink {
    public:
-    ReadyCall(World& world, std::size_t node) : world_(world), node_(node) {}
+    ReadyCall(World& world, Node& node) : world_(world), node_(node) {}
     void head(const net::ResponseHead& head) override { ready_ = head.result_int() == 200; }
     void done() override { world_.asked(node_, ready_); }
     void failed(net::CallFailure) override { world_.asked(node_, false); }
 
    private:
     World& world_;
-    std::size_t node_;
+    Node& node_;
     bool ready_ = false;
   };
 
@@ -170,21 +170,18 @@
   }
 
   void ask(Node& node) {
-    for (std::size_t i = 0; i < nodes_.size(); ++i)
-      if (nodes_[i].get() == &node)
-        node.asking =
-            probes_.call(node.process->address(),
-                         net::headText("GET /-/ready HTTP/1.1", {{"Host", "soak"}, {"Connection", "close"}}),
-                         nullptr, std::make_shared<ReadyCall>(*this, i));
+    node.asking =
+        probes_.call(node.process->address(),
+                     net::headText("GET /-/ready HTTP/1.1", {{"Host", "soak"}, {"Connection", "close"}}),
+                     nullptr, std::make_shared<ReadyCall>(*this, node));
   }
 
-  void asked(std::size_t number, bool ready) {
-    Node& node = *nodes_[number];
+  void asked(Node& node, bool ready) {
     node.asking = nullptr;
     if (!node.readyByMs || !node.process->running()) return;
     if (!ready) {
-      stage_.after(50, [this, number] {
-        if (nodes_[number]->readyByMs && !nodes_[number]->asking) ask(*nodes_[number]);
+      stage_.after(50, [this, &node] {
+        if (node.readyByMs && !node.asking) ask(node);
       });
       return;
     }
--- a/tests/folder_faults_test.cpp
+++ b/tests/folder_faults_test.cpp
@@ -3,8 +3,8 @@
 #include <filesystem>
 #include <fstream>
 
-#include "../soak/system_call_faults.h"
 #include "app/operations.h"
+#include "support/faults.h"
 #include "support/folder.h"
 #include "support/site.h"
 
@@ -14,11 +14,6 @@
 using system_call_faults::Call;
 using system_call_faults::Rule;
 
-struct Faults {
-  explicit Faults(std::vector<Rule> rules) { system_call_faults::install(std::move(rules)); }
-  ~Faults() { system_call_faults::clear(); }
-};
-
 // One process of a conductor whose folder lasts longer than the process.
 struct Process : Site {
   explicit Process(const Folder& folder) : Site(kMixed, /*openai=*/false) {
--- a/tests/handover_faults_test.cpp
+++ b/tests/handover_faults_test.cpp
@@ -1,8 +1,8 @@
 // Streams that pass from one process to another while system calls fail: at any moment just one has each.
 #include <cerrno>
 
-#include "../soak/system_call_faults.h"
 #include "app/passing.h"
+#include "support/faults.h"
 #include "support/folder.h"
 #include "support/stage.h"
 
@@ -25,9 +25,10 @@
     SCOPED_TRACE(error);
     Passage passage;
     ASSERT_EQ(passage.sender.send("stream", {}), app::PassingSender::Result::kSent);
-    system_call_faults::install({{.call = Call::kSend, .error = error, .every = error == EINTR ? 2 : 1}});
-    for (int i = 0; i < 50; ++i) passage.io.poll();
-    system_call_faults::clear();
+    {
+      const Faults faults({{.call = Call::kSend, .error = error, .every = error == EINTR ? 2 : 1}});
+      for (int i = 0; i < 50; ++i) passage.io.poll();
+    }
     std::size_t heard = 0;
     const bool settled = passage.until([&] {
       heard += passage.sender.taken();
--- a/tests/network_faults_test.cpp
+++ b/tests/network_faults_test.cpp
@@ -4,10 +4,10 @@
 #include <array>
 #include <cerrno>
 
-#include "../soak/system_call_faults.h"
 #include "net/line_server.h"
 #include "net/listener.h"
 #include "net/pool.h"
+#include "support/faults.h"
 #include "support/stage.h"
 
 namespace dahliastall::net {
@@ -16,14 +16,6 @@
 using system_call_faults::Call;
 using system_call_faults::Rule;
 
-// Faults end with their test.
-struct Faults {
-  explicit Faults(std::vector<Rule> rules) { system_call_faults::install(std::move(rules)); }
-  ~Faults() { system_call_faults::clear(); }
-  static std::uint64_t hits() { return system_call_faults::hits(); }
-  static bool happened() { return hits() > 0; }
-};
-
 const std::string kRequest =
     messageText("POST /v1/chat HTTP/1.1", {{"Host", "x"}}, "{\"content\":\"hello\"}");
 
--- /dev/null
+++ b/tests/support/faults.h
@@ -0,0 +1,23 @@
+// System calls that fail while this lives, in the test's own process.
+#pragma once
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "../soak/system_call_faults.h"
+
+namespace dahliastall {
+
+struct Faults {
+  explicit Faults(std::vector<system_call_faults::Rule> rules) {
+    system_call_faults::install(std::move(rules));
+  }
+  ~Faults() { system_call_faults::clear(); }
+  Faults(const Faults&) = delete;
+  Faults& operator=(const Faults&) = delete;
+  static std::uint64_t hits() { return system_call_faults::hits(); }
+  static bool happened() { return hits() > 0; }
+};
+
+}  // namespace dahliastall
