The wall clock is a function; looks at other processes take over all that they see

WallClock and its one implementation become unixNowMs(); the comment of core/clock.h told of a comparison that is gone. hasSuccessor() kept a part of what it saw and handOver() looked again: both go through share() now. clientWaits() asked for the answerer twice.

--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -265,8 +265,8 @@
   run_->store->list([this, alive = alive_, asked, tries, reply](const Listing& all) {
     if (!*alive) return;
     if (!all.ok) return reply({false, "the store cannot be read: " + all.why});
-    const PlanAnswer answer = decide(asked, {all.docs, all.revision, engine_.clock.nowMs()}, boxes(),
-                                     core::systemWallClock().unixMs());
+    const PlanAnswer answer =
+        decide(asked, {all.docs, all.revision, engine_.clock.nowMs()}, boxes(), core::unixNowMs());
     if (!answer.problem.empty()) return reply({false, answer.problem});
     if (!answer.write) return reply({true, answer.said});
     run_->store->put(*answer.write, [this, alive = alive_, asked, tries, reply, answer](CommitAnswer done) {
--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -48,14 +48,12 @@
 
 bool Operations::hasSuccessor() {
   if (!folder_) return false;
-  if (const auto others = folder_->others()) others_.serving = others->serving;
+  if (const auto others = folder_->others()) share(*others);
   return others_.serving > 0;
 }
 
 void Operations::handOver() {
-  const auto others = folder_ ? folder_->others() : std::nullopt;
-  const SharedFolder::Others& known = others ? *others : others_;
-  if (known.serving > 0) handover_.begin(folder_->folder(), known.receiver);
+  if (hasSuccessor()) handover_.begin(folder_->folder(), others_.receiver);
 }
 
 void Operations::tick() {
--- a/src/app/otlp.cpp
+++ b/src/app/otlp.cpp
@@ -59,14 +59,14 @@
       pool_(io, clock, deadlines, unseen_, {1, kDialMs, intervalMs * 2}),
       collector_(collector),
       intervalMs_(intervalMs),
-      startUnixMs_(core::systemWallClock().unixMs()) {
+      startUnixMs_(core::unixNowMs()) {
   deadlines_.add(clock_.nowMs() + intervalMs_, [this] { send(); });
 }
 
 void OtlpExporter::send() {
   if (call_) call_->abandon();
   const auto body = std::make_shared<const std::string>(
-      otlpMetrics(counters_, "dahliastall", startUnixMs_, core::systemWallClock().unixMs()));
+      otlpMetrics(counters_, "dahliastall", startUnixMs_, core::unixNowMs()));
   const std::string host = collector_.address().to_string() + ":" + std::to_string(collector_.port());
   call_ = pool_.call(
       collector_,
--- a/src/app/sharer.cpp
+++ b/src/app/sharer.cpp
@@ -43,7 +43,7 @@
 std::unique_ptr<coordination::FleetTask> Sharer::task(double longestStepMs) {
   auto task = std::make_unique<DigestTask>(
       coordination::TaskConfig{"digest", setup_.config.digestMs, longestStepMs, /*quiet=*/true},
-      [this] { return setup_.config; }, [] { return core::systemWallClock().unixMs(); });
+      [this] { return setup_.config; }, [] { return core::unixNowMs(); });
   task_ = task.get();
   return task;
 }
@@ -65,7 +65,7 @@
 void Sharer::speak() {
   if (!put_) return;
   const double now = engine_.clock.nowMs();
-  const auto write = node_.next(core::systemWallClock().unixMs(), now);
+  const auto write = node_.next(core::unixNowMs(), now);
   if (!write) return;
   put_(*write, [this, alive = alive_](coordination::CommitAnswer answer) {
     if (*alive) node_.written(answer, engine_.clock.nowMs());
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,6 +1,5 @@
 /// The program's two clocks. All spans (deadlines, windows, waits) are measured on the monotonic one. The
-/// wall clock may be wrong and may be stepped; it is read only to compare with times that other machines tell
-/// and to tell times to others.
+/// wall clock may be wrong and may be stepped; it is read only to tell times to others.
 #pragma once
 
 #include <chrono>
@@ -42,25 +41,10 @@
   double now_ = 1'000'000;
 };
 
-/// Milliseconds since the Unix epoch, as this machine sees it.
-class WallClock {
- public:
-  virtual ~WallClock() = default;
-  virtual double unixMs() const = 0;
-};
-
-class SystemWallClock final : public WallClock {
- public:
-  double unixMs() const override {
-    const std::chrono::duration<double, std::milli> now = std::chrono::system_clock::now().time_since_epoch();
-    return now.count();
-  }
-};
-
-/// This machine's.
-inline const WallClock& systemWallClock() {
-  static const SystemWallClock clock;
-  return clock;
+/// The wall clock: milliseconds since the Unix epoch, as this machine sees it.
+inline double unixNowMs() {
+  const std::chrono::duration<double, std::milli> now = std::chrono::system_clock::now().time_since_epoch();
+  return now.count();
 }
 
 // The only place where the program's milliseconds meet the module's microseconds.
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -233,8 +233,7 @@
 // A client's close may have come while its handler still waits for its turn: nothing begins for who has gone.
 bool Conductor::clientWaits(RequestKey key) {
   const Request* r = requests_.find(key);
-  if (r == nullptr || !r->answerer || clock_.nowMs() >= r->facts.deadlineMs) return false;
-  return clientPresent(key);
+  return r != nullptr && clock_.nowMs() < r->facts.deadlineMs && clientPresent(key);
 }
 
 bool Conductor::clientPresent(RequestKey key) {
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -183,7 +183,7 @@
     : Front(conductor, clock, counters),
       site_(site),
       newId_(std::move(newId)),
-      startedS_(static_cast<std::int64_t>(core::systemWallClock().unixMs() / 1000)) {}
+      startedS_(static_cast<std::int64_t>(core::unixNowMs() / 1000)) {}
 
 void OpenAiFront::request(const std::shared_ptr<net::ClientConnection>& connection,
                           net::HttpRequest&& request, double arrivedMs) {
