--- /dev/null
+++ b/soak/client.cpp
@@ -0,0 +1,119 @@
+#include "client.h"
+
+#include "net/message.h"
+
+namespace dahliastall::soak {
+
+namespace {
+
+constexpr double kClientDialMs = 1'000, kClientIdleMs = 3'000;
+constexpr double kLeastBudget = 0.5;   // of the longest deadline
+constexpr double kPatienceMs = 5'000;  // that a client waits past its deadline
+constexpr double kLeaverShare = 0.08, kChangeShare = 0.4;
+
+}  // namespace
+
+class Client::Exchange final : public net::CallSink {
+ public:
+  Exchange(Client& client, std::string id) : client_(client), id_(std::move(id)) {}
+  void head(const net::ResponseHead& head) override { view().status = head.result_int(); }
+  bool body(std::string_view part) override {
+    tail_ += part;
+    return true;
+  }
+  void written() override { written_ = true; }
+  void done() override {
+    view().answeredMs = client_.environment_.clock.nowMs();
+    view().whole = tail_.find("data: [DONE]") != std::string::npos;
+    client_.over(id_, /*resend=*/false);
+  }
+  // A connection that rests may end as the next request crosses its end: that one is sent once more.
+  void failed(net::CallFailure) override {
+    if (view().status != 0) view().answeredMs = client_.environment_.clock.nowMs();
+    const bool crossed = view().status == 0 && !client_.resent_ && !(client_.call_ && client_.call_->first());
+    if (!written_ && !crossed) view().undecided = true;  // nobody has taken it
+    client_.over(id_, crossed);
+  }
+
+ private:
+  ClientView& view() { return client_.environment_.ledger.of(id_); }
+  Client& client_;
+  std::string id_, tail_;
+  bool written_ = false;
+};
+
+Client::Client(Environment& environment, int conductor, int number, const net::Endpoint& to,
+               double longestDeadlineMs)
+    : environment_(environment),
+      conductor_(conductor),
+      number_(number),
+      to_(to),
+      pool_(environment.io, environment.clock, environment.deadlines, environment.counters,
+            {2, kClientDialMs, kClientIdleMs}),
+      longestDeadlineMs_(longestDeadlineMs) {}
+
+void Client::start() {
+  environment_.after(environment_.drawn(0, 300), [this] { send(); });
+}
+
+void Client::send() {
+  if (stopped_) return;
+  if (paused_ || (onlyOpen_ && !pool_.hasIdle(to_))) return start();
+  const std::string id =
+      std::to_string(conductor_) + "-" + std::to_string(number_) + "-" + std::to_string(++sent_);
+  ClientView& view = environment_.ledger.of(id);
+  view.atMostOnce = environment_.drawn(0, 1) < kChangeShare;
+  view.conductor = conductor_;
+  view.budgetMs = environment_.drawn(kLeastBudget, 1) * longestDeadlineMs_;
+  view.sentMs = environment_.clock.nowMs();
+  resent_ = false;
+  open(id);
+  if (environment_.drawn(0, 1) >= kLeaverShare) return;
+  environment_.after(environment_.drawn(2, 400), [this, id] {
+    if (!call_ || id_ != id) return;
+    environment_.ledger.of(id).goneMs = environment_.clock.nowMs();
+    call_->abandon();
+    over(id, false);
+  });
+}
+
+void Client::open(const std::string& id) {
+  id_ = id;
+  const std::string body = R"({"model":"m","stream":true,"messages":[]})";
+  const std::string head =
+      net::headText("POST /v1/chat/completions HTTP/1.1",
+                    {{"Host", "soak"},
+                     {"X-Call-Id", id},
+                     {"X-Call-Class", environment_.ledger.of(id).atMostOnce ? "change" : "ask"},
+                     {"X-Caller", "club"},
+                     {"X-Route-Hash", std::to_string(number_)},
+                     {"X-Budget-Ms", std::to_string(static_cast<long>(environment_.ledger.of(id).budgetMs))},
+                     {"X-Call-Info", "prompt_len=100,max_out=50"},
+                     {"Content-Length", std::to_string(body.size())}});
+  call_ =
+      pool_.call(to_, head, std::make_shared<const std::string>(body), std::make_shared<Exchange>(*this, id));
+  environment_.after(environment_.ledger.of(id).budgetMs + kPatienceMs, [this, id] {
+    if (!call_ || id_ != id) return;
+    call_->abandon();
+    over(id, false);
+  });
+}
+
+void Client::over(const std::string& id, bool resend) {
+  if (id_ != id) return;
+  call_ = nullptr;
+  if (resend) {
+    resent_ = true;
+    pool_.dropIdle(to_);
+    return open(id);
+  }
+  id_.clear();
+  start();
+}
+
+void Client::doubt(double sentByMs) {
+  if (!id_.empty() && environment_.ledger.of(id_).sentMs <= sentByMs)
+    environment_.ledger.of(id_).undecided = true;
+}
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/client.h
@@ -0,0 +1,46 @@
+/// Clients of the soak.
+#pragma once
+
+#include <cmath>
+#include <memory>
+#include <string>
+
+#include "environment.h"
+#include "net/endpoint.h"
+#include "net/pool.h"
+
+namespace dahliastall::soak {
+
+/// A client of one conductor, which sends one request after the other.
+class Client {
+ public:
+  Client(Environment& environment, int conductor, int number, const net::Endpoint& to,
+         double longestDeadlineMs);
+  void start();
+  void pause() { paused_ = true; }  ///< the front layer sends nothing there
+  void resume() { paused_ = onlyOpen_ = false; }
+  /// Opens no further connection.
+  void useOpenConnections() { onlyOpen_ = true; }
+  void stop() { stopped_ = true; }
+  bool busy() const { return call_ != nullptr; }
+  /// What is open and was sent by then cannot be judged any more.
+  void doubt(double sentByMs = HUGE_VAL);
+
+ private:
+  class Exchange;
+  void send();
+  void open(const std::string& id);
+  void over(const std::string& id, bool resend);
+
+  Environment& environment_;
+  int conductor_, number_;
+  net::Endpoint to_;
+  net::Pool pool_;
+  std::shared_ptr<net::Call> call_;
+  std::string id_;
+  int sent_ = 0;
+  double longestDeadlineMs_;
+  bool resent_ = false, paused_ = false, stopped_ = false, onlyOpen_ = false;
+};
+
+}  // namespace dahliastall::soak
--- a/soak/conductor_process.cpp
+++ b/soak/conductor_process.cpp
@@ -13,9 +13,9 @@
 namespace dahliastall::soak {
 
 ConductorProcess::ConductorProcess(Programs programs, std::string folder, net::Endpoint listen,
-                                   net::Endpoint discovery)
+                                   net::Endpoint discovery, nlohmann::json settings)
     : programs_(std::move(programs)), folder_(std::move(folder)), listen_(std::move(listen)) {
-  writeConfiguration(discovery);
+  writeConfiguration(discovery, settings);
 }
 
 ConductorProcess::~ConductorProcess() {
@@ -24,10 +24,11 @@
   ::waitpid(process_, nullptr, 0);
 }
 
-void ConductorProcess::writeConfiguration(const net::Endpoint& discovery) const {
+void ConductorProcess::writeConfiguration(const net::Endpoint& discovery,
+                                          const nlohmann::json& settings) const {
   std::ofstream(folder_ + "/config.json")
       << nlohmann::json{{"name", "n0"}, {"listen", textOf(listen_)},    {"discovery", textOf(discovery)},
-                        {"seed", "7"},  {"limits", {{"sockets", 256}}}, {"settings", settings()}};
+                        {"seed", "7"},  {"limits", {{"sockets", 256}}}, {"settings", settings}};
 }
 
 void ConductorProcess::start() {
--- a/soak/conductor_process.h
+++ b/soak/conductor_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,7 +19,8 @@
 class ConductorProcess {
  public:
   /// folder: its own, with its configuration, its shared files and its log.
-  ConductorProcess(Programs programs, std::string folder, net::Endpoint listen, net::Endpoint discovery);
+  ConductorProcess(Programs programs, std::string folder, net::Endpoint listen, net::Endpoint discovery,
+                   nlohmann::json settings);
   ~ConductorProcess();
   ConductorProcess(const ConductorProcess&) = delete;
   ConductorProcess& operator=(const ConductorProcess&) = delete;
@@ -35,7 +37,7 @@
   const net::Endpoint& address() const { return listen_; }
 
  private:
-  void writeConfiguration(const net::Endpoint& discovery) const;
+  void writeConfiguration(const net::Endpoint& discovery, const nlohmann::json& settings) const;
 
   Programs programs_;
   std::string folder_;
--- /dev/null
+++ b/soak/environment.h
@@ -0,0 +1,28 @@
+/// What all parties of the emulator share: its loop, clock, ledger and source of chance.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <random>
+#include <utility>
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "ledger.h"
+
+namespace dahliastall::soak {
+
+/// The emulator's own loop, clock and source of chance.
+struct Environment {
+  boost::asio::io_context& io;
+  const core::Clock& clock;
+  core::Deadlines& deadlines;
+  core::Counters& counters;
+  Ledger& ledger;
+  std::mt19937_64 random;
+
+  double drawn(double least, double most) { return std::uniform_real_distribution<>(least, most)(random); }
+  void after(double ms, core::Deadlines::Task task) { deadlines.add(clock.nowMs() + ms, std::move(task)); }
+};
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/idle_clients.h
@@ -0,0 +1,37 @@
+/// A crowd of clients that connect to one conductor, send nothing and connect again once they are sent away.
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <vector>
+
+#include "environment.h"
+#include "net/endpoint.h"
+
+namespace dahliastall::soak {
+
+class IdleClients {
+ public:
+  IdleClients(Environment& environment, const net::Endpoint& to, int count);
+  void start();
+  void stop();
+
+ private:
+  struct Connection {
+    explicit Connection(boost::asio::io_context& io) : socket(io) {}
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 512> received{};
+  };
+
+  void connect(const std::shared_ptr<Connection>& connection);
+  void read(const std::shared_ptr<Connection>& connection);
+  void connectAgain(const std::shared_ptr<Connection>& connection);
+
+  Environment& environment_;
+  net::Endpoint to_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+  bool stopped_ = false;
+};
+
+}  // namespace dahliastall::soak
--- /dev/null
+++ b/soak/instance.h
@@ -0,0 +1,91 @@
+/// Instances of the soak: prefill, decode and mixed ones as the protocol page has them.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "environment.h"
+#include "held_ledger.h"
+#include "net/endpoint.h"
+#include "net/listener.h"
+
+namespace dahliastall::soak {
+
+enum class Behaviour {
+  kServes,
+  kHangs,  ///< takes attempts and answers nothing
+  kResets,
+  kRejects,
+  kReadsNothing,   ///< a process that is stopped: what arrives is read once it goes on
+  kLosesAnswers,   ///< some connections carry no answer any more, from some moment on until they close
+  kLosesRequests,  ///< some connections carry nothing any more in either direction
+};
+
+/// When each conductor was told that an instance drains.
+using DrainTold = std::function<std::optional<double>(int conductor, int instance)>;
+
+/// What an instance of this fleet makes of a reservation whose prefill it cannot see running.
+enum class ReservationRule {
+  kByArrival,  ///< granted where the bytes of the prefill came, be it unread
+  kByRunning,  ///< 204 unless the prefill runs
+};
+
+class Instance final : public net::RequestHandler {
+ public:
+  Instance(Environment& environment, HeldLedger& held, ReservationRule rule, int number, std::string kind,
+           const net::Endpoint& address, DrainTold drainTold);
+  void request(const std::shared_ptr<net::ClientConnection>& connection, net::HttpRequest&& request,
+               double arrivedMs) override;
+  void gone(net::ClientConnection& connection) override;
+  void drained(net::ClientConnection&) override {}
+  void reject(net::ClientConnection& connection, unsigned status, std::string_view why) override;
+  void behave(Behaviour behaviour, double forMs);
+  const std::string& kind() const { return kind_; }
+  net::Endpoint address() const { return listener_.address(); }
+
+ private:
+  using Connection = std::shared_ptr<net::ClientConnection>;
+  enum class Silence { kNone, kAnswers, kBoth };
+  struct Call {
+    Connection connection;
+    net::HttpRequest request;
+    double arrivedMs;
+  };
+  /// An attempt that runs here, until it ends or its connection closes.
+  struct Running {
+    std::string request;
+    bool prefills = false;
+  };
+
+  void read(const Call& call);
+  void readLate();
+  void attempt(const Call& call, bool swallowed);
+  void prefill(const Connection& connection, const std::string& request);
+  void decode(const Connection& connection, const std::string& request);
+  void reserve(const Connection& connection, const std::string& request);
+  void release(const Connection& connection, const std::string& request);
+  void stream(const Connection& connection, int left);
+  void end(const net::ClientConnection* connection);
+  Silence silenceOf(const net::ClientConnection* connection);
+  void answer(const Connection& connection, unsigned status, const net::Fields& fields,
+              const std::string& body);
+  double now() const { return environment_.clock.nowMs(); }
+
+  Environment& environment_;
+  HeldLedger& held_;
+  ReservationRule rule_;
+  int number_;
+  std::string kind_;
+  DrainTold drainTold_;
+  Behaviour behaviour_ = Behaviour::kServes;
+  std::vector<Call> unread_;
+  std::map<const net::ClientConnection*, Running> running_;
+  std::map<const net::ClientConnection*, Silence> silence_;
+  net::Listener listener_;
+};
+
+}  // namespace dahliastall::soak
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -45,6 +45,7 @@
   void breaks(std::string rule, std::string detail) {
     process_.push_back({std::move(rule), "", std::move(detail)});
   }
+  void add(Break one) { process_.push_back(std::move(one)); }
   std::vector<Break> judge(double drainGraceMs) const;
   std::size_t size() const { return requests_.size(); }
   std::size_t undecided() const;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,13 +1,14 @@
-/// dahliastall_soak: plays conductors as real processes under drawn troubles and judges them by their rules.
+/// dahliastall_soak: plays conductors as real processes under drawn faults and judges them by their rules.
 #include <algorithm>
 #include <array>
 #include <boost/program_options.hpp>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <map>
 
-#include "world.h"
+#include "scenario.h"
 
 namespace {
 
@@ -27,7 +28,7 @@
 
 // On a busy machine a play may be late without any fault of the program.
 bool dependsOnSpeed(const std::string& rule) {
-  constexpr std::array kRules{"lost", "gone", "deadline", "drain", "ready", "end"};
+  constexpr std::array kRules{"lost", "gone", "deadline", "drain", "ready", "end", "held"};
   return std::find(kRules.begin(), kRules.end(), rule) != kRules.end();
 }
 
@@ -48,7 +49,8 @@
 
 void tell(const Plan& plan, const Outcome& outcome) {
   std::cout << "seed " << plan.seed << ": " << outcome.requests << " requests, " << outcome.served
-            << " served, " << outcome.undecided << " undecided, " << outcome.breaks.size() << " breaks"
+            << " served, " << outcome.undecided << " undecided, held for "
+            << std::lround(outcome.longestHeldMs) << " ms at most, " << outcome.breaks.size() << " breaks"
             << std::endl;
   std::map<std::string, int> byRule;
   for (const Break& one : outcome.breaks)
@@ -78,14 +80,14 @@
   return broken == 0 ? 0 : 1;
 }
 
-// Drops troubles one by one while the same rule still breaks.
+// Drops faults one by one while the same rule still breaks.
 void shrink(Plan plan, const Session& session) {
   const Outcome whole = playInto(plan, session);
   if (whole.breaks.empty()) throw std::runtime_error("the plan breaks no rule");
   const std::string rule = whole.breaks.front().rule;
-  for (std::size_t i = plan.troubles.size(); i-- > 0;) {
+  for (std::size_t i = plan.faults.size(); i-- > 0;) {
     Plan less = plan;
-    less.troubles.erase(less.troubles.begin() + static_cast<std::ptrdiff_t>(i));
+    less.faults.erase(less.faults.begin() + static_cast<std::ptrdiff_t>(i));
     const Outcome outcome = playInto(less, session);
     const bool still = std::any_of(outcome.breaks.begin(), outcome.breaks.end(),
                                    [&](const Break& one) { return one.rule == rule; });
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -11,8 +11,13 @@
 
 namespace {
 
-constexpr std::array kNames{"system_calls", "terminate", "kill",  "stop",   "reload",
-                            "drain",        "hang",      "reset", "reject", "discovery_down"};
+constexpr std::array kNames{"system_calls", "terminate",    "kill",         "stop",   "reload",
+                            "drain",        "hang",         "reset",        "reject", "discovery_down",
+                            "read_nothing", "lose_answers", "lose_requests"};
+
+// Of the settings' classes, in turn over the seeds.
+constexpr std::array kDeadlinesMs{3'000.0, 500.0, 7'000.0, 800.0, 1'500.0};
+constexpr int kCrowdEvery = 4, kCrowd = 300;  // one seed in so many has idle clients, and how many
 
 // As Linux documents them; shares are of the calls while the fault lasts.
 constexpr std::array kRules{"receive EINTR every=2",
@@ -38,12 +43,12 @@
                             "clock step step=-3600000",
                             "clock step step=3000"};
 
-constexpr int kLeastTroubles = 4, kMostTroubles = 9;
+constexpr int kLeastFaults = 4, kMostFaults = 9;
 constexpr double kLeastMs = 100, kMostMs = 1'500;
 
 }  // namespace
 
-const char* nameOf(Trouble trouble) { return kNames.at(static_cast<std::size_t>(trouble)); }
+const char* nameOf(FaultKind fault) { return kNames.at(static_cast<std::size_t>(fault)); }
 
 Plan drawPlan(std::uint64_t seed, int conductors, int instances, double lengthMs) {
   std::mt19937_64 random(seed);
@@ -55,33 +60,43 @@
   plan.conductors = conductors;
   plan.instances = instances;
   plan.lengthMs = lengthMs;
-  // Troubles gather about one moment, so that they overlap.
+  plan.longestDeadlineMs = kDeadlinesMs.at(seed % kDeadlinesMs.size());
+  plan.reservationsByArrival = seed % 2 == 0;
+  plan.idleClients = seed % kCrowdEvery == 3 ? kCrowd : 0;
+  // Faults gather about one moment, so that they overlap.
   const double centreMs = number(3'000, static_cast<int>(lengthMs) - 4'000);
-  for (int left = number(kLeastTroubles, kMostTroubles); left > 0; --left) {
-    PlannedTrouble next;
-    const int kind = number(0, 2 * static_cast<int>(kNames.size()));  // half of them are system calls
-    next.trouble =
-        kind < static_cast<int>(kNames.size()) ? static_cast<Trouble>(kind) : Trouble::kSystemCalls;
+  for (int left = number(kLeastFaults, kMostFaults); left > 0; --left) {
+    PlannedFault next;
+    const int drawn = number(0, 2 * static_cast<int>(kNames.size()));  // half of them are system calls
+    next.kind =
+        drawn < static_cast<int>(kNames.size()) ? static_cast<FaultKind>(drawn) : FaultKind::kSystemCalls;
     next.target = number(0, 1'000'000);
     next.atMs = centreMs + number(-800, 800);
     next.forMs = number(static_cast<int>(kLeastMs), static_cast<int>(kMostMs));
-    if (next.trouble == Trouble::kSystemCalls)
+    if (next.kind == FaultKind::kSystemCalls)
       next.rule = kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
-    plan.troubles.push_back(next);
+    plan.faults.push_back(next);
   }
   return plan;
 }
 
 std::string textOf(const Plan& plan) {
   json list = json::array();
-  for (const PlannedTrouble& trouble : plan.troubles)
-    list.push_back({{"trouble", nameOf(trouble.trouble)},
-                    {"target", trouble.target},
-                    {"at_ms", trouble.atMs},
-                    {"for_ms", trouble.forMs},
-                    {"rule", trouble.rule}});
-  return json{{"seed", plan.seed},       {"conductors", plan.conductors}, {"instances", plan.instances},
-              {"clients", plan.clients}, {"length_ms", plan.lengthMs},    {"troubles", list}}
+  for (const PlannedFault& fault : plan.faults)
+    list.push_back({{"fault", nameOf(fault.kind)},
+                    {"target", fault.target},
+                    {"at_ms", fault.atMs},
+                    {"for_ms", fault.forMs},
+                    {"rule", fault.rule}});
+  return json{{"seed", plan.seed},
+              {"conductors", plan.conductors},
+              {"instances", plan.instances},
+              {"clients", plan.clients},
+              {"length_ms", plan.lengthMs},
+              {"longest_deadline_ms", plan.longestDeadlineMs},
+              {"reservations_by_arrival", plan.reservationsByArrival},
+              {"idle_clients", plan.idleClients},
+              {"faults", list}}
       .dump(2);
 }
 
@@ -94,17 +109,20 @@
     plan.instances = whole.at("instances");
     plan.clients = whole.at("clients");
     plan.lengthMs = whole.at("length_ms");
-    for (const json& entry : whole.at("troubles")) {
-      PlannedTrouble next;
-      const auto name = entry.at("trouble").get<std::string>();
+    plan.longestDeadlineMs = whole.at("longest_deadline_ms");
+    plan.reservationsByArrival = whole.at("reservations_by_arrival");
+    plan.idleClients = whole.at("idle_clients");
+    for (const json& entry : whole.at("faults")) {
+      PlannedFault next;
+      const auto name = entry.at("fault").get<std::string>();
       const auto* const it = std::find(kNames.begin(), kNames.end(), name);
       if (it == kNames.end()) return std::nullopt;
-      next.trouble = static_cast<Trouble>(it - kNames.begin());
+      next.kind = static_cast<FaultKind>(it - kNames.begin());
       next.target = entry.at("target");
       next.atMs = entry.at("at_ms");
       next.forMs = entry.at("for_ms");
       next.rule = entry.at("rule");
-      plan.troubles.push_back(next);
+      plan.faults.push_back(next);
     }
     return plan;
   } catch (const json::exception&) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -9,7 +9,7 @@
 
 namespace dahliastall::soak {
 
-enum class Trouble {
+enum class FaultKind {
   kSystemCalls,    ///< calls of one conductor fail, in its preloaded library
   kTerminate,      ///< SIGTERM, and a successor
   kKill,           ///< SIGKILL, and a successor
@@ -20,11 +20,14 @@
   kReset,          ///< an instance resets what it has for a while
   kReject,         ///< an instance turns requests away for a while
   kDiscoveryDown,  ///< watches are closed and none is answered for a while
+  kReadNothing,    ///< some instances of one role are stopped for a while, and go on
+  kLoseAnswers,    ///< connections to some instances of one role carry no more answers
+  kLoseRequests,   ///< connections to some instances of one role carry nothing more, without an error
 };
-const char* nameOf(Trouble trouble);
+const char* nameOf(FaultKind fault);
 
-struct PlannedTrouble {
-  Trouble trouble = Trouble::kHang;
+struct PlannedFault {
+  FaultKind kind = FaultKind::kHang;
   int target = 0;  ///< number of the conductor or instance
   double atMs = 0;
   double forMs = 0;
@@ -35,7 +38,10 @@
   std::uint64_t seed = 0;
   int conductors = 24, instances = 30, clients = 4;  ///< clients of each conductor
   double lengthMs = 12'000;
-  std::vector<PlannedTrouble> troubles;
+  double longestDeadlineMs = 3'000;    ///< of the settings' classes
+  bool reservationsByArrival = false;  ///< a reservation is granted where the bytes of its prefill came
+  int idleClients = 0;                 ///< that connect to one conductor and send nothing
+  std::vector<PlannedFault> faults;
 };
 
 Plan drawPlan(std::uint64_t seed, int conductors, int instances, double lengthMs);
--- a/soak/world.cpp
+++ b/soak/scenario.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "scenario.h"
 
 #include <signal.h>
 #include <unistd.h>
@@ -11,7 +11,10 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "emulator.h"
+#include "client.h"
+#include "discovery_agent.h"
+#include "idle_clients.h"
+#include "instance.h"
 #include "net/loop.h"
 #include "settings.h"
 
@@ -21,22 +24,32 @@
 
 using nlohmann::json;
 
-constexpr double kReadyMs = 10'000;  // allowed from the start of a process
-constexpr double kFrontMs = 300;     // after SIGTERM the front layer goes on sending
-constexpr double kKilledMs = 3'700;  // after SIGTERM; what is to be answered is answered by then
+constexpr double kReadyMs = 10'000;        // allowed from the start of a process
+constexpr double kFrontMs = 300;           // after SIGTERM the front layer goes on sending
+constexpr double kLongestGraceMs = 3'000;  // of the deadlines; SIGKILL follows SIGTERM so long after it
+constexpr double kKillAfterMs = 700;       // and this, at its earliest
+constexpr double kTakenAfterMs = 700;      // after SIGTERM; what came later has to be answered before SIGKILL
+constexpr double kHeldLimitMs = 650;  // 300 ms of the settings, 300 of the protocol page, 50 of the rules
+constexpr double kMachineSlackMs = 50;
 constexpr double kStopMs = 150;      // that a conductor may be held up
-constexpr double kWarmUpMs = 1'500;  // of clients, before any trouble
+constexpr double kWarmUpMs = 1'500;  // of clients, before any fault
 constexpr double kLookMs = 10;
+constexpr double kSettleMs = 1'200;  // at the end, with no client left
+constexpr int kMostAlike = 3;        // instances of one role that a fault hits
+constexpr std::array kKinds{"reader", "writer", "mixed"};
+constexpr std::array kFurtherSignals{SIGHUP, SIGTERM, SIGINT};  // to a process that ends
+constexpr double kFurtherSignalMs = 150;
 constexpr std::uint16_t kFirstPort = 21'000;
 
-class World {
+class Scenario {
  public:
-  World(const Plan& plan, const Programs& programs, std::string folder)
+  Scenario(const Plan& plan, const Programs& programs, std::string folder)
       : plan_(plan),
         programs_(programs),
         folder_(std::move(folder)),
         loop_(io_, clock_, deadlines_),
-        stage_{io_, clock_, deadlines_, counters_, ledger_, std::mt19937_64(plan.seed + 1)},
+        environment_{io_, clock_, deadlines_, counters_, ledger_, std::mt19937_64(plan.seed + 1)},
+        held_(kHeldLimitMs + kMachineSlackMs + (stops() ? kStopMs : 0)),
         startedMs_(clock_.nowMs()) {
     addInstances();
     addConductors();
@@ -48,8 +61,10 @@
     for (auto& node : nodes_)
       for (auto& client : node->clients) client->stop();
     runUntil(clock_.nowMs() + 5'500, [this] { return allQuiet(); });
+    runUntil(clock_.nowMs() + kSettleMs, [] { return false; });  // what is held has to go by itself
     finish();
-    Outcome outcome{ledger_.judge(kDrainGraceMs), ledger_.size(), ledger_.served(), ledger_.undecided()};
+    Outcome outcome{ledger_.judge(kDrainGraceMs), ledger_.size(), ledger_.served(), ledger_.undecided(),
+                    held_.longestMs()};
     return outcome;
   }
 
@@ -59,7 +74,7 @@
     std::unique_ptr<ConductorProcess> process;
     std::vector<std::unique_ptr<Client>> clients;
     std::map<int, double> drainToldMs;  // by instance
-    std::optional<double> readyByMs, endsByMs;
+    std::optional<double> readyByMs, endsByMs, terminatedMs;
     bool expectedEnd = false;
     std::shared_ptr<net::Call> asking;
   };
@@ -67,13 +82,13 @@
   // Asks whether a conductor is ready, again and again.
   class ReadyCall final : public net::CallSink {
    public:
-    ReadyCall(World& world, Node& node) : world_(world), node_(node) {}
+    ReadyCall(Scenario& scenario, Node& node) : scenario_(scenario), node_(node) {}
     void head(const net::ResponseHead& head) override { ready_ = head.result_int() == 200; }
-    void done() override { world_.asked(node_, ready_); }
-    void failed(net::CallFailure) override { world_.asked(node_, false); }
+    void done() override { scenario_.asked(node_, ready_); }
+    void failed(net::CallFailure) override { scenario_.asked(node_, false); }
 
    private:
-    World& world_;
+    Scenario& scenario_;
     Node& node_;
     bool ready_ = false;
   };
@@ -85,10 +100,11 @@
   }
 
   void addInstances() {
-    constexpr std::array kKinds{"reader", "writer", "mixed"};
     for (int i = 0; i < plan_.instances; ++i) {
       instances_.push_back(std::make_unique<Instance>(
-          stage_, i, kKinds.at(static_cast<std::size_t>(i) % kKinds.size()), nextAddress(),
+          environment_, held_,
+          plan_.reservationsByArrival ? ReservationRule::kByArrival : ReservationRule::kByRunning, i,
+          kKinds.at(static_cast<std::size_t>(i) % kKinds.size()), nextAddress(),
           [this](int node, int instance) { return drainTold(node, instance); }));
       leaving_.push_back(false);
     }
@@ -99,25 +115,25 @@
       const std::string own = folder_ + "/" + std::to_string(i);
       std::filesystem::create_directories(own);
       auto node = std::make_unique<Node>();
-      node->agent = std::make_unique<Agent>(stage_, nextAddress());
+      node->agent = std::make_unique<Agent>(environment_, nextAddress());
       node->agent->list(listOf(true), "");
-      node->process =
-          std::make_unique<ConductorProcess>(programs_, own, nextAddress(), node->agent->address());
+      node->process = std::make_unique<ConductorProcess>(
+          programs_, own, nextAddress(), node->agent->address(), settings(plan_.longestDeadlineMs));
       node->process->faults(rulesOf(i));
       for (int k = 0; k < plan_.clients; ++k)
-        node->clients.push_back(std::make_unique<Client>(stage_, i, k, node->process->address()));
+        node->clients.push_back(
+            std::make_unique<Client>(environment_, i, k, node->process->address(), plan_.longestDeadlineMs));
       nodes_.push_back(std::move(node));
     }
   }
 
   std::vector<std::string> rulesOf(int conductor) const {
     std::vector<std::string> rules;
-    for (const PlannedTrouble& trouble : plan_.troubles) {
-      if (trouble.trouble != Trouble::kSystemCalls || trouble.target % plan_.conductors != conductor)
-        continue;
-      const double from = monotonicMs(startedMs_ + kWarmUpMs + trouble.atMs);
-      rules.push_back(trouble.rule + " from=" + std::to_string(from) +
-                      " until=" + std::to_string(from + trouble.forMs));
+    for (const PlannedFault& fault : plan_.faults) {
+      if (fault.kind != FaultKind::kSystemCalls || fault.target % plan_.conductors != conductor) continue;
+      const double from = monotonicMs(startedMs_ + kWarmUpMs + fault.atMs);
+      rules.push_back(fault.rule + " from=" + std::to_string(from) +
+                      " until=" + std::to_string(from + fault.forMs));
     }
     return rules;
   }
@@ -155,9 +171,13 @@
 
   void begin() {
     for (auto& node : nodes_) startProcess(*node);
-    for (const PlannedTrouble& trouble : plan_.troubles)
-      stage_.after(kWarmUpMs + trouble.atMs, [this, &trouble] { befall(trouble); });
+    for (const PlannedFault& fault : plan_.faults)
+      environment_.after(kWarmUpMs + fault.atMs, [this, &fault] { inject(fault); });
     look();
+    if (plan_.idleClients == 0) return;
+    crowd_ =
+        std::make_unique<IdleClients>(environment_, nodes_.front()->process->address(), plan_.idleClients);
+    environment_.after(kWarmUpMs, [this] { crowd_->start(); });
   }
 
   void startProcess(Node& node) {
@@ -165,6 +185,7 @@
     node.readyByMs = clock_.nowMs() + kReadyMs;
     node.endsByMs.reset();
     node.expectedEnd = false;
+    node.terminatedMs.reset();
     for (auto& client : node.clients) client->pause();
     ask(node);
   }
@@ -180,7 +201,7 @@
     node.asking = nullptr;
     if (!node.readyByMs || !node.process->running()) return;
     if (!ready) {
-      stage_.after(50, [this, &node] {
+      environment_.after(50, [this, &node] {
         if (node.readyByMs && !node.asking) ask(node);
       });
       return;
@@ -193,43 +214,73 @@
     }
   }
 
-  void befall(const PlannedTrouble& trouble) {
-    Node& node = *nodes_[static_cast<std::size_t>(trouble.target % plan_.conductors)];
-    const int instance = trouble.target % plan_.instances;
+  void inject(const PlannedFault& fault) {
+    Node& node = *nodes_[static_cast<std::size_t>(fault.target % plan_.conductors)];
+    const int instance = fault.target % plan_.instances;
     Instance& at = *instances_[static_cast<std::size_t>(instance)];
-    switch (trouble.trouble) {
-      case Trouble::kSystemCalls:
+    switch (fault.kind) {
+      case FaultKind::kSystemCalls:
         return;  // in the process's own plan
-      case Trouble::kTerminate:
+      case FaultKind::kTerminate:
         return terminate(node);
-      case Trouble::kKill:
+      case FaultKind::kKill:
         return kill(node);
-      case Trouble::kStop:
+      case FaultKind::kStop:
         node.process->signal(SIGSTOP);
-        return stage_.after(std::min(trouble.forMs, kStopMs), [&node] { node.process->signal(SIGCONT); });
-      case Trouble::kReload:
+        return environment_.after(std::min(fault.forMs, kStopMs), [&node] { node.process->signal(SIGCONT); });
+      case FaultKind::kReload:
         return node.process->signal(SIGHUP);
-      case Trouble::kDrain:
+      case FaultKind::kDrain:
         return drain(instance);
-      case Trouble::kHang:
-        return at.behave(Behaviour::kHangs, trouble.forMs);
-      case Trouble::kReset:
-        return at.behave(Behaviour::kResets, trouble.forMs);
-      case Trouble::kReject:
-        return at.behave(Behaviour::kRejects, trouble.forMs);
-      case Trouble::kDiscoveryDown:
-        return node.agent->down(trouble.forMs);
+      case FaultKind::kHang:
+        return at.behave(Behaviour::kHangs, fault.forMs);
+      case FaultKind::kReset:
+        return at.behave(Behaviour::kResets, fault.forMs);
+      case FaultKind::kReject:
+        return at.behave(Behaviour::kRejects, fault.forMs);
+      case FaultKind::kDiscoveryDown:
+        return node.agent->down(fault.forMs);
+      case FaultKind::kReadNothing:
+        return behaveAlike(fault, Behaviour::kReadsNothing);
+      case FaultKind::kLoseAnswers:
+        return behaveAlike(fault, Behaviour::kLosesAnswers);
+      case FaultKind::kLoseRequests:
+        return behaveAlike(fault, Behaviour::kLosesRequests);
     }
   }
 
+  // One to three instances of the role that the target has.
+  void behaveAlike(const PlannedFault& fault, Behaviour behaviour) {
+    const int roles = static_cast<int>(kKinds.size());
+    const int count = 1 + fault.target / plan_.instances % kMostAlike;
+    for (int i = 0; i < count; ++i) {
+      const int instance = (fault.target + i * roles) % plan_.instances;
+      instances_[static_cast<std::size_t>(instance)]->behave(behaviour, fault.forMs);
+    }
+  }
+
+  double killAfterMs() const { return std::min(plan_.longestDeadlineMs, kLongestGraceMs) + kKillAfterMs; }
+
+  bool stops() const {
+    return std::any_of(plan_.faults.begin(), plan_.faults.end(),
+                       [](const PlannedFault& fault) { return fault.kind == FaultKind::kStop; });
+  }
+
+  // After the front layer has noticed, clients go on sending on the connections that stay open.
   void terminate(Node& node) {
     if (!node.process->running() || node.readyByMs || node.endsByMs) return;
     node.process->signal(SIGTERM);
     node.expectedEnd = true;
-    node.endsByMs = clock_.nowMs() + kKilledMs;
-    stage_.after(kFrontMs, [&node] {
-      for (auto& client : node.clients) client->pause();
+    node.terminatedMs = clock_.nowMs();
+    node.endsByMs = clock_.nowMs() + killAfterMs();
+    environment_.after(kFrontMs, [&node] {
+      if (!node.terminatedMs) return;
+      for (auto& client : node.clients) client->useOpenConnections();
     });
+    for (std::size_t i = 0; i < kFurtherSignals.size(); ++i)
+      environment_.after(kFurtherSignalMs * static_cast<double>(i + 1), [this, &node, i] {
+        if (node.terminatedMs && (plan_.seed + i) % 2 == 0) node.process->signal(kFurtherSignals.at(i));
+      });
   }
 
   void kill(Node& node) {
@@ -252,7 +303,8 @@
   // Processes that have ended, or should have.
   void look() {
     for (auto& node : nodes_) lookAt(*node);
-    stage_.after(kLookMs, [this] { look(); });
+    for (Break& one : held_.overdue(clock_.nowMs())) ledger_.add(std::move(one));
+    environment_.after(kLookMs, [this] { look(); });
   }
 
   void lookAt(Node& node) {
@@ -263,7 +315,7 @@
       node.readyByMs.reset();
     }
     if (node.endsByMs && now > *node.endsByMs) {
-      for (auto& client : node.clients) client->doubt();
+      for (auto& client : node.clients) client->doubt(*node.terminatedMs + kTakenAfterMs);
       ledger_.breaks("end", name + " still runs when it is killed");
       node.process->signal(SIGKILL);
       node.endsByMs.reset();
@@ -272,9 +324,18 @@
     if (!status) return;
     if (!node.expectedEnd || (node.endsByMs && *status != 0))
       ledger_.breaks("crash", name + " ended with " + std::to_string(*status));
+    for (auto& client : node.clients) client->pause();
+    excuseHeldOf(node);
     if (!finishing_) startProcess(node);
   }
 
+  // Instances free by themselves what a process that has ended left.
+  void excuseHeldOf(const Node& node) {
+    held_.excuse([&](const std::string& request) {
+      return nodes_.at(static_cast<std::size_t>(ledger_.of(request).conductor)).get() == &node;
+    });
+  }
+
   bool allQuiet() const {
     for (const auto& node : nodes_)
       for (const auto& client : node->clients)
@@ -284,8 +345,9 @@
 
   void finish() {
     finishing_ = true;
+    if (crowd_) crowd_->stop();
     for (auto& node : nodes_) terminate(*node);
-    runUntil(clock_.nowMs() + kKilledMs + 500, [this] {
+    runUntil(clock_.nowMs() + killAfterMs() + 500, [this] {
       return std::none_of(nodes_.begin(), nodes_.end(),
                           [](const auto& node) { return node->process->running(); });
     });
@@ -310,7 +372,8 @@
   core::Counters counters_;
   net::Loop loop_;
   Ledger ledger_;
-  Stage stage_;
+  Environment environment_;
+  HeldLedger held_;
   double startedMs_;
   std::uint16_t port_ = kFirstPort;
   int revision_ = 1;
@@ -318,6 +381,7 @@
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::set<const Client*> begun_;
+  std::unique_ptr<IdleClients> crowd_;
   net::Pool probes_{io_, clock_, deadlines_, counters_, {64, 500, 1'000}};
   bool finishing_ = false;
 };
@@ -325,8 +389,8 @@
 }  // namespace
 
 Outcome play(const Plan& plan, const Programs& programs, const std::string& folder) {
-  World world(plan, programs, folder);
-  return world.run();
+  Scenario scenario(plan, programs, folder);
+  return scenario.run();
 }
 
 }  // namespace dahliastall::soak
--- a/soak/world.h
+++ b/soak/scenario.h
@@ -1,5 +1,5 @@
 /// One play of the soak: conductors as real processes between emulated instances, discovery and clients,
-/// under the troubles of a plan.
+/// under the faults of a plan.
 #pragma once
 
 #include <map>
@@ -15,6 +15,7 @@
 struct Outcome {
   std::vector<Break> breaks;
   std::size_t requests = 0, served = 0, undecided = 0;
+  double longestHeldMs = 0;  ///< that anything was held with no attempt out
 };
 
 /// Plays a plan in an empty folder, in which logs are left.
--- a/soak/settings.cpp
+++ b/soak/settings.cpp
@@ -2,8 +2,14 @@
 
 namespace dahliastall::soak {
 
-nlohmann::json settings() {
-  return nlohmann::json::parse(R"({
+namespace {
+
+constexpr double kDeadlineOfAim = 3;  // a class's deadline, in times of its aim
+
+}  // namespace
+
+nlohmann::json settings(double longestDeadlineMs) {
+  nlohmann::json settings = nlohmann::json::parse(R"({
     "me":0,"peersTotal":24,"tickMs":2.0,"discovery":"push","zones":["z"],"myZone":"z","countedBy":"work",
     "kinds":["reader","writer","mixed"],
     "familyInfo":{"dutyByKind":["read","write","both"],"memoryTokens":[200000,100000,150000],"ahead":true,
@@ -20,6 +26,11 @@
     "limits":{"cancel":true,"peers":false,"probing":false,"secondCopies":false,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfterMs":2000.0,"dialTimeoutMs":250.0,"idleCloseMs":30000.0},
     "report":{"how":"off"}})");
+  for (nlohmann::json& grade : settings["grades"]) {
+    grade["hardLimitMs"] = longestDeadlineMs;
+    grade["goalTimeMs"] = longestDeadlineMs / kDeadlineOfAim;
+  }
+  return settings;
 }
 
 }  // namespace dahliastall::soak
