A reservation is a lease: renewed while its prefill is out, released where it is in doubt

Cause: PlaceCall::done() took a 200 for a proof that the prefill is out (known()), doubt() then returned, and Boxes::heldBackMs() let no release go out beside it until the module called the prefill off 0.75 s to 1.2 s later. A grant tells of the decode instance alone. Second cause: a call that was given up after 1 s and read later by an instance that had stopped was granted with nobody to release it. Change: fleet/reservation_lease decides when to renew and when to release; fronts/boxes/reservations carries it in place of PlaceCall; fleet/owed_releases and its carrier keep two releases owed to an instance that never answered. The limit of what a decode attempt is to take counts from the last end of an attempt. Doubts and late releases are logged with the request, and counted.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -367,6 +367,7 @@
   Request& r = *requests_.find(a->request);
   const RequestKey owner = a->request;
   ++counters_[nameOf(result.outcome)];
+  r.endedMs = clock_.nowMs();
   const bool streamed = a->opened;
   const bool calledOff = result.outcome == Outcome::kCancelled || result.outcome == Outcome::kTimeout;
   // An answer that cannot be read is closed as well, and goes on at its engine perhaps.
@@ -550,7 +551,8 @@
   if (!maySend(key)) return close(key, {Outcome::kNotSent});
   attempts_.find(key)->until = deadlines_.add(until, [this, key] { timeOut(key); });
   const bool reads = at != nullptr && at->reads;
-  engines_->start({key, r->id, send.engine, r->payload, until, reads, closesArriveMs(*r, !secondCopies_)});
+  engines_->start(
+      {key, r->id, send.engine, r->payload, until, reads, closesArriveMs(*r, !secondCopies_), r->endedMs});
 }
 
 void Conductor::carryOut(const HoldPlace& hold) {
--- a/src/core/conductor.h
+++ b/src/core/conductor.h
@@ -29,6 +29,8 @@
             Deadlines& deadlines, Counters& counters);
 
   void connect(Engines& engines) { engines_ = &engines; }
+  // A line for the log, from whoever works for the core.
+  void note(const std::string& text) { log_(text); }
   void onLog(std::function<void(const std::string&)> log) { log_ = std::move(log); }
   // Sees every action of the module before it is carried out.
   void onAction(std::function<void(const leverrelay::Action&)> watch) { watch_ = std::move(watch); }
@@ -112,6 +114,7 @@
     std::size_t out = 0;
     RequestFacts facts;
     double closedMs = 0;  // when a connection of an attempt was last closed from this side
+    double endedMs = 0;   // when an attempt last ended
     AttemptKey stream;
     // Of its last attempt that ended: the names of its outcome, and of what kind of engine that was at.
     const char *lastOutcome = "nothing_sent", *lastAt = "";
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -53,8 +53,9 @@
   leverrelay::EngineId engine;
   std::shared_ptr<const Payload> payload;
   double untilMs;
-  bool reads;          // at a reader: what it leaves is a state, and it takes none
-  double afterMs = 0;  // nothing of it goes out before
+  bool reads;              // at a reader: what it leaves is a state, and it takes none
+  double afterMs = 0;      // nothing of it goes out before
+  double heldSinceMs = 0;  // the last attempt of its request ended; 0: there was none
 };
 
 // The way to the engines. Whatever it reports comes through Conductor, also at once from within a call.
--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-constexpr double kPlaceAnswerMs = 1000;  // a box answers within 0.3 s, or is silent
 constexpr double kProbeAnswerMs = 1000;
+constexpr double kSilentMs = 1000;     // without any sign: an instance may be stopped, and go on later
+constexpr double kArrivalMs = 75;      // for what was written to be read where it goes
 constexpr double kLastChunkMs = 1000;  // to follow the event that ends a stream
 // Without anything on a stream that has begun: its client may be left waiting 5 s. Slow boxes send every few
 // seconds at worst.
@@ -35,6 +36,7 @@
         request_(dispatch.request),
         engine_(dispatch.engine),
         untilMs_(dispatch.untilMs),
+        heldSinceMs_(dispatch.heldSinceMs),
         reads_(dispatch.reads) {}
 
   ~AttemptCall() override {
@@ -45,14 +47,14 @@
 
   const RequestId& request() const { return request_; }
   bool isWritten() const { return writtenMs_ < HUGE_VAL; }
-  // Until when a release beside it might take what it goes on with. A read whose bytes are not out yet has
-  // nothing, however long its connection takes to come up; a write needs the state that waits for it.
+  bool prefills() const { return reads_; }
+  // Until when a release beside it might take what it goes on with. A prefill whose bytes are not out yet has
+  // nothing, however long its connection takes to come up; a decode attempt needs the state that waits for
+  // it.
   double heldBackMs() const {
-    if (!isWritten() && reads_) return 0;
-    return writtenMs_ + boxes_.releaseWithinMs_;
+    if (reads_) return isWritten() ? writtenMs_ + boxes_.releaseWithinMs_ : 0;
+    return isWritten() ? takenByMs() : HUGE_VAL;
   }
-  void known() { known_ = true; }  // to be out at its instance
-  bool isKnown() const { return known_; }
   core::AttemptKey key() const { return key_; }
   void hold(std::shared_ptr<net::Call> call) { call_ = std::move(call); }
   net::Call& call() { return *call_; }
@@ -69,7 +71,7 @@
 
   // A place is asked for right after the last byte of the read: before it the box knows of no read.
   void placeAt(const EngineId& engine) {
-    if (isWritten()) boxes_.askPlace(request_, key_, engine);
+    if (isWritten()) boxes_.reservations_.ask(request_, key_, engine);
     else place_ = engine;
   }
 
@@ -85,7 +87,7 @@
     writtenMs_ = boxes_.clock_.nowMs();
     if (!reads_) watchForTaking();
     boxes_.conductor_.written(key_);
-    if (place_) boxes_.askPlace(request_, key_, *std::exchange(place_, std::nullopt));
+    if (place_) boxes_.reservations_.ask(request_, key_, *std::exchange(place_, std::nullopt));
   }
 
   void head(const net::ResponseHead& head) override {
@@ -121,12 +123,19 @@
   // or was answered with a piece that is none of a stream under way, has taken nothing, and the time of what
   // is held goes on. Where it did arrive, the release takes nothing from it.
   void watchForTaking() {
-    taken_ = boxes_.deadlines_.add(writtenMs_ + boxes_.releaseWithinMs_, [this] {
+    taken_ = boxes_.deadlines_.add(takenByMs(), [this] {
       taken_.reset();
       if (parts_ < 2) boxes_.releases_.releaseBeside(request_);
     });
   }
 
+  // The time of what is held goes on since the last attempt ended, however late this one was written; it has
+  // a moment to arrive, as a release that overtook it would take its state.
+  double takenByMs() const {
+    const double heldSinceMs = heldSinceMs_ > 0 ? heldSinceMs_ : writtenMs_;
+    return std::max(heldSinceMs + boxes_.releaseWithinMs_, writtenMs_ + kArrivalMs);
+  }
+
   // Guards a client against a box that goes silent in the middle of its answer.
   void watchForStall() {
     boxes_.deadlines_.cancel(stall_);
@@ -181,6 +190,7 @@
     boxes.deadlines_.cancel(stall_);
     boxes.deadlines_.cancel(taken_);
     boxes.attempts_.erase(key.slot);
+    if (reads_) boxes.reservations_.prefillEnded(key);
     boxes.conductor_.ended(key, result);
   }
 
@@ -194,79 +204,15 @@
   EventGate gate_;
   std::optional<core::Deadlines::Key> last_, stall_, taken_;
   double untilMs_;               // its answer is waited for
+  double heldSinceMs_;           // the last attempt of its request ended; 0: there was none
   double writtenMs_ = HUGE_VAL;  // its last byte; until then in no time
   int parts_ = 0;                // in which whole events came
   unsigned status_ = 0;
   bool reads_;
-  bool begun_ = false, rejected_ = false, known_ = false, first_ = false;
+  bool begun_ = false, rejected_ = false, first_ = false;
 };
 
-// ---- Places, releases and probes -------------------------------------------------------------------
-
-// Whatever becomes of it, it settles once. One that was written and got no clear no may be held all the same,
-// also when its read has ended, and nobody else would let go of it then.
-class Boxes::PlaceCall final : public net::CallSink, public std::enable_shared_from_this<PlaceCall> {
- public:
-  PlaceCall(Boxes& boxes, RequestId request, core::AttemptKey reading, EngineId engine)
-      : boxes_(boxes), request_(std::move(request)), reading_(reading), engine_(std::move(engine)) {
-    boxes_.releases_.placeAsked(request_);
-  }
-
-  // After its read has ended, or its client has left, a place would only be pinned.
-  bool ready() override {
-    return boxes_.attempt(reading_) && boxes_.conductor_.mayHold(engine_) &&
-           boxes_.conductor_.attemptIsWanted(reading_);
-  }
-  void written() override {
-    written_ = true;
-    open_ = boxes_.deadlines_.add(boxes_.clock_.nowMs() + boxes_.releaseWithinMs_, [self = weak_from_this()] {
-      const auto place = self.lock();
-      if (!place) return;
-      place->open_.reset();
-      place->doubt();
-    });
-  }
-  void head(const net::ResponseHead& head) override {
-    status_ = head.result_int();
-    boxes_.heard(engine_);
-  }
-  void done() override {
-    ++boxes_.counters_["places.answered"];
-    // 204: not known; it may be held, and a note that it is not would be a guess.
-    if (const auto read = boxes_.attempt(reading_); read && status_ == 200) read->known();
-    if (status_ == 200) boxes_.conductor_.placeAnswered(reading_, engine_, true);
-    if (status_ == 409 || status_ == 404) boxes_.conductor_.placeAnswered(reading_, engine_, false);
-    settle(status_ == 409 || status_ == 404);
-  }
-  void failed(net::CallFailure) override { settle(!written_); }
-  void givenUp() { settle(!written_); }
-
- private:
-  void settle(bool nothingHeld) {
-    boxes_.deadlines_.cancel(open_);
-    boxes_.releases_.placeSettled(request_);
-    if (!nothingHeld) doubt();
-  }
-
-  // It may be held, and its read may never have reached its reader: nothing tells of either, and while no
-  // attempt is out at an instance the place's time goes on. One that is known to be held has its read out:
-  // its request's own end or first event lets go of it.
-  void doubt() {
-    const bool useless = boxes_.conductor_.needsNothingHeld(request_);
-    if (status_ == 200 && !useless) return;
-    ++boxes_.counters_["places.doubtful"];
-    if (useless) boxes_.releases_.release(request_);
-    else boxes_.releases_.releaseBeside(request_);
-  }
-
-  Boxes& boxes_;
-  RequestId request_;
-  core::AttemptKey reading_;
-  EngineId engine_;
-  std::optional<core::Deadlines::Key> open_;
-  unsigned status_ = 0;
-  bool written_ = false;
-};
+// ---- Probes ------------------------------------------------------------------------------------------
 
 class Boxes::ProbeCall final : public net::CallSink {
  public:
@@ -302,10 +248,16 @@
       releaseWithinMs_(releaseWithinMs),
       releases_(
           pool, directory, clock, deadlines, counters, releaseWithinMs,
-          [this](const RequestId& request, const Box& box) {
-            return head("DELETE", dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
-          },
-          [this](const RequestId& request) { return heldBackMs(request); }) {
+          [this](const RequestId& request, const Box& box) { return roomHead("DELETE", request, box); },
+          [this](const RequestId& request) { return heldBackMs(request); },
+          [&conductor](const std::string& line) { conductor.note(line); }),
+      owed_(pool, directory, clock, deadlines, counters, releaseWithinMs,
+            [this](const RequestId& request, const Box& box) { return roomHead("DELETE", request, box); }),
+      // No id in its head: a call that carries one could be taken for an attempt.
+      reservations_(
+          conductor, pool, directory, clock, deadlines, counters, releases_, owed_, releaseWithinMs,
+          [this](const RequestId& request, const Box& box) { return roomHead("POST", request, box); },
+          [this](core::AttemptKey prefill) { return attempt(prefill) != nullptr; }) {
   conductor_.connect(*this);
 }
 
@@ -319,16 +271,21 @@
   return it == attempts_.end() || it->second->key() != key ? nullptr : it->second;
 }
 
-// The last one's, should there be several. One that is known to be out at its instance needs no release
-// beside it: no time passes meanwhile for what is held.
+// The last one's, should there be several.
 std::optional<double> Boxes::heldBackMs(const RequestId& request) const {
   std::optional<double> last;
-  for (const auto& [slot, sink] : attempts_)
-    if (sink->request() == request && !sink->isKnown())
-      last = std::max(last.value_or(sink->heldBackMs()), sink->heldBackMs());
+  for (const auto& [slot, sink] : attempts_) {
+    if (sink->request() != request) continue;
+    last = std::max(last.value_or(0), sink->heldBackMs());
+    if (sink->prefills() && sink->isWritten()) last = std::max(*last, reservations_.coversUntilMs(request));
+  }
   return last;
 }
 
+std::string Boxes::roomHead(const std::string& method, const RequestId& request, const Box& box) const {
+  return head(method, dialect_.roomsPath + request.value, box, {{"Content-Length", "0"}});
+}
+
 std::string Boxes::head(const std::string& method, const std::string& target, const Box& box,
                         net::Fields fields) const {
   fields.insert(fields.begin(),
@@ -365,6 +322,7 @@
   if (!sink) return;
   attempts_.erase(key.slot);
   sink->call().abandon();
+  if (sink->prefills()) reservations_.prefillEnded(key);
 }
 
 void Boxes::pause(core::AttemptKey key, std::function<void()> quiet) {
@@ -420,21 +378,6 @@
   });
 }
 
-void Boxes::askPlace(const RequestId& request, core::AttemptKey reading, const EngineId& engine) {
-  const Box* box = directory_.find(engine);
-  if (box == nullptr) return;
-  const auto sink = std::make_shared<PlaceCall>(*this, request, reading, engine);
-  const auto call = pool_.call(
-      box->address,
-      // No id in its head: a call that carries one could be taken for an attempt.
-      head("POST", dialect_.roomsPath + request.value, *box, {{"Content-Length", "0"}}), nullptr, sink);
-  deadlines_.add(clock_.nowMs() + kPlaceAnswerMs, [call, sink] {
-    if (call->state() == net::Call::State::kOver) return;
-    call->abandon();
-    sink->givenUp();
-  });
-}
-
 void Boxes::release(const RequestId& request) { releases_.release(request); }
 
 void Boxes::probe(const EngineId& engine) {
--- a/src/fronts/boxes/boxes.h
+++ b/src/fronts/boxes/boxes.h
@@ -9,7 +9,9 @@
 
 #include "core/conductor.h"
 #include "fronts/boxes/directory.h"
+#include "fronts/boxes/owed_release_calls.h"
 #include "fronts/boxes/releases.h"
+#include "fronts/boxes/reservations.h"
 #include "net/message.h"
 #include "net/pool.h"
 
@@ -64,19 +66,19 @@
     dialect_ = std::move(dialect);
     releaseWithinMs_ = releaseWithinMs;
     releases_.within(releaseWithinMs);
+    owed_.within(releaseWithinMs);
+    reservations_.within(releaseWithinMs);
   }
 
   std::size_t releasing() const { return releases_.underWay(); }
 
  private:
   class AttemptCall;
-  class PlaceCall;
   class ProbeCall;
 
   std::shared_ptr<AttemptCall> attempt(core::AttemptKey key) const;
   std::optional<double> heldBackMs(const leverrelay::RequestId& request) const;
-  void askPlace(const leverrelay::RequestId& request, core::AttemptKey reading,
-                const leverrelay::EngineId& engine);
+  std::string roomHead(const std::string& method, const leverrelay::RequestId& request, const Box& box) const;
   std::string head(const std::string& method, const std::string& target, const Box& box,
                    net::Fields fields) const;
   void heard(const leverrelay::EngineId& engine);
@@ -92,6 +94,8 @@
   double releaseWithinMs_;
   std::map<std::uint32_t, std::shared_ptr<AttemptCall>> attempts_;  // by the number of the core's slot
   Releases releases_;
+  OwedReleaseCalls owed_;
+  Reservations reservations_;
 };
 
 }  // namespace dahliastall::fronts
--- a/src/fronts/boxes/releases.cpp
+++ b/src/fronts/boxes/releases.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr double kCallMs = 400;  // for one call: a connection that comes up late, and the answer
-constexpr double kPauseMs = 20;  // after nobody could be asked
+constexpr double kCallMs = 400;           // for one call: a connection that comes up late, and the answer
+constexpr double kProtocolSlackMs = 350;  // that the protocol adds to the settings' time limit
+constexpr double kPauseMs = 20;           // after nobody could be asked
 // Calls of all releases together: where nobody hears, many releases with many calls each would fill the line
 // for connections. Beyond it each release still asks one at a time.
 constexpr std::size_t kMostOut = 128;
@@ -48,7 +49,7 @@
 
 Releases::Releases(net::Pool& pool, Directory& directory, const core::Clock& clock,
                    core::Deadlines& deadlines, core::Counters& counters, double withinMs, Head head,
-                   HeldBackMs heldBackMs)
+                   HeldBackMs heldBackMs, Report report)
     : pool_(pool),
       directory_(directory),
       clock_(clock),
@@ -56,7 +57,8 @@
       counters_(counters),
       withinMs_(withinMs),
       head_(std::move(head)),
-      heldBackMs_(std::move(heldBackMs)) {}
+      heldBackMs_(std::move(heldBackMs)),
+      report_(std::move(report)) {}
 
 // A call and its sink hold each other while it runs.
 Releases::~Releases() {
@@ -145,8 +147,10 @@
   if (state.course.settling()) {
     const auto at = roundMs(request, state);
     if (!at) return finish(request);
-    if (now >= *at) state.course.go(now);
-    else if (std::isfinite(*at)) nextMs = *at;
+    if (now >= *at) {
+      state.course.go(now);
+      state.askedMs = now;
+    } else if (std::isfinite(*at)) nextMs = *at;
   }
   if (state.course.over(now)) {
     if (!state.course.done()) ++counters_["releases.given_up"];
@@ -199,6 +203,7 @@
     if (state.calls.empty() && !state.course.settling()) state.course.failed(clock_.nowMs());
     return step(request);
   }
+  checkTime(request, state);
   leaveUnwritten(state);
   state.tried.clear();
   state.heard = by;
@@ -209,6 +214,18 @@
   step(request);
 }
 
+// The rule on what is held, as far as this process can see it: until an instance accepted a release that was
+// due.
+void Releases::checkTime(const RequestId& request, Releasing& state) {
+  if (std::exchange(state.accepted, true)) return;
+  const double tookMs = clock_.nowMs() - state.askedMs;
+  if (tookMs <= withinMs_ / 2) return;
+  const bool violated = tookMs > withinMs_ + kProtocolSlackMs;
+  ++counters_[violated ? "invariants.violated.held" : "releases.late"];
+  report_((violated ? "invariant violated: held by request " : "release accepted late: request ") +
+          request.value + ", after " + std::to_string(std::lround(tookMs)) + " ms");
+}
+
 // Nobody else needs to be reached. What is written already stays: its answer gives the connection back.
 void Releases::leaveUnwritten(Releasing& state) {
   std::erase_if(state.calls, [this](const auto& entry) {
--- a/src/fronts/boxes/releases.h
+++ b/src/fronts/boxes/releases.h
@@ -25,10 +25,11 @@
  public:
   using Head = std::function<std::string(const leverrelay::RequestId&, const Box&)>;  // of the call's message
   // While an attempt of a request is out: until when a release may take what it goes on with.
+  using Report = std::function<void(const std::string&)>;  // of a line for the log
   using HeldBackMs = std::function<std::optional<double>(const leverrelay::RequestId&)>;
 
   Releases(net::Pool& pool, Directory& directory, const core::Clock& clock, core::Deadlines& deadlines,
-           core::Counters& counters, double withinMs, Head head, HeldBackMs heldBackMs);
+           core::Counters& counters, double withinMs, Head head, HeldBackMs heldBackMs, Report report);
   ~Releases();
 
   void release(const leverrelay::RequestId& request);
@@ -54,19 +55,22 @@
  private:
   class Carrier;
   struct Releasing {
-    Releasing(double nowMs, double withinMs) : course(nowMs, withinMs) {}
+    Releasing(double nowMs, double withinMs) : course(nowMs, withinMs), askedMs(nowMs) {}
     fleet::ReleaseRetry course;
     std::map<std::uint64_t, std::shared_ptr<net::Call>> calls;  // without an answer yet
     std::set<leverrelay::EngineId> tried;                       // since all were asked once
     std::uint64_t first = 0;  // of the calls of this round: an answer to an earlier one proves nothing for it
     leverrelay::EngineId heard;  // who took the last round: a later one goes to another, if it can
     std::optional<core::Deadlines::Key> next;
+    double askedMs = 0;      // since when what may be held has to be let go of
+    bool accepted = false;   // by any instance
     bool again = false;      // asked for once more meanwhile: what the first could not see may be held now
     bool attempted = false;  // an attempt has gone out since: see attemptGoesOut()
     std::vector<std::function<void()>> after;
   };
 
   void step(const leverrelay::RequestId& request);
+  void checkTime(const leverrelay::RequestId& request, Releasing& state);
   std::optional<double> roundMs(const leverrelay::RequestId& request, const Releasing& state) const;
   void ask(const leverrelay::RequestId& request, Releasing& state, const leverrelay::EngineId& engine);
   void answered(const leverrelay::RequestId& request, std::uint64_t call, const leverrelay::EngineId& by,
@@ -83,6 +87,7 @@
   double withinMs_;
   Head head_;
   HeldBackMs heldBackMs_;
+  Report report_;
   std::map<leverrelay::RequestId, Releasing> releases_;
   std::map<leverrelay::RequestId, int> placesOut_;
   std::uint64_t calls_ = 0;
--- /dev/null
+++ b/src/fronts/boxes/reservations.h
@@ -0,0 +1,89 @@
+/// Carries the calls for reservations at decode instances, and renews what was granted while the prefill is
+/// out. When to renew and when to release is fleet::ReservationLease's.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+#include "core/conductor.h"
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "fleet/reservation_lease.h"
+#include "fronts/boxes/directory.h"
+#include "fronts/boxes/owed_release_calls.h"
+#include "fronts/boxes/releases.h"
+#include "net/pool.h"
+
+namespace dahliastall::fronts {
+
+class Reservations {
+ public:
+  /// The head of the message that asks for a reservation.
+  using Head = std::function<std::string(const leverrelay::RequestId&, const Box&)>;
+  using PrefillIsOut = std::function<bool(core::AttemptKey)>;
+
+  Reservations(core::Conductor& conductor, net::Pool& pool, Directory& directory, const core::Clock& clock,
+               core::Deadlines& deadlines, core::Counters& counters, Releases& releases,
+               OwedReleaseCalls& owed, double withinMs, Head head, PrefillIsOut prefillIsOut);
+  ~Reservations();
+  Reservations(const Reservations&) = delete;
+  Reservations& operator=(const Reservations&) = delete;
+
+  /// Asks an instance to hold a place for the request whose prefill has just been written.
+  void ask(const leverrelay::RequestId& request, core::AttemptKey prefill,
+           const leverrelay::EngineId& engine);
+  void prefillEnded(core::AttemptKey prefill);
+  /// Until when a release beside the request's prefill could take a reservation that it waits for.
+  double coversUntilMs(const leverrelay::RequestId& request) const;
+  void within(double ms) { withinMs_ = ms; }
+
+ private:
+  class Sink;
+  using Number = std::uint64_t;
+  struct Reservation {
+    Reservation(leverrelay::RequestId request, core::AttemptKey prefill, leverrelay::EngineId engine,
+                double withinMs)
+        : request(std::move(request)), prefill(prefill), engine(std::move(engine)), lease(withinMs) {}
+    leverrelay::RequestId request;
+    core::AttemptKey prefill;
+    leverrelay::EngineId engine;
+    fleet::ReservationLease lease;
+    double askedMs = 0;  // the last call was written
+    bool renewed = false, doubted = false;
+    std::shared_ptr<Sink> sink;  // of the call that is out
+    std::shared_ptr<net::Call> call;
+    std::optional<core::Deadlines::Key> next, limit;
+  };
+
+  void send(Number number);
+  bool wanted(Number number) const;
+  void written(Number number);
+  void answered(Number number, unsigned status);
+  void unanswered(Number number, bool written);
+  void giveUp(Number number);
+  void settle(Number number);
+  void step(Number number);
+  void release(Reservation& reservation);
+  void close(Number number);
+
+  core::Conductor& conductor_;
+  net::Pool& pool_;
+  Directory& directory_;
+  const core::Clock& clock_;
+  core::Deadlines& deadlines_;
+  core::Counters& counters_;
+  Releases& releases_;
+  OwedReleaseCalls& owed_;
+  double withinMs_;
+  Head head_;
+  PrefillIsOut prefillIsOut_;
+  std::map<Number, Reservation> reservations_;
+  Number numbers_ = 0;
+};
+
+}  // namespace dahliastall::fronts
--- a/tests/held_state_processes_test.cpp
+++ b/tests/held_state_processes_test.cpp
@@ -61,6 +61,10 @@
   expectNothingHeldTooLong(planOf(FaultKind::kLoseAnswers, /*reservationsByArrival=*/false, kPrefill));
 }
 
+TEST(HeldState, IsReleasedWhereConnectionsOfPrefillInstancesFallSilent) {
+  expectNothingHeldTooLong(planOf(FaultKind::kLoseRequests, /*reservationsByArrival=*/true, kPrefill));
+}
+
 // Guards against a call for a reservation that is read once it was given up, and is granted then.
 TEST(HeldState, IsReleasedAfterADecodeInstanceThatWasStoppedReadsALateReservation) {
   Plan plan = planOf(FaultKind::kReadNothing, /*reservationsByArrival=*/false, kDecode);
