Renew a reservation 200 ms past the release limit and release it 80 ms later

A renewal replaces the reservation, and with it what has streamed. Change: fewer renewals. A conductor that is held up for 150 ms as one is due still sends it within the 650 ms.

--- a/src/fleet/reservation_lease.h
+++ b/src/fleet/reservation_lease.h
@@ -18,8 +18,8 @@
 
   /// The protocol allows 300 ms over the settings' time limit. A renewal goes out in the middle of them: each
   /// one costs its instance work, and most prefills end before it is due.
-  static constexpr double kRenewLateMs = 150;
-  static constexpr double kRenewalAnswerMs = 100;  ///< a grant comes at once; "not known" comes 300 ms late
+  static constexpr double kRenewLateMs = 200;
+  static constexpr double kRenewalAnswerMs = 80;  ///< a grant comes at once; "not known" comes 300 ms late
 
   /// withinMs: within which what no attempt covers has to be released.
   explicit ReservationLease(double withinMs) : withinMs_(withinMs) {}
