--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -77,15 +77,16 @@
       next.rule = kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
     plan.faults.push_back(next);
   }
-  // Every seed has a drain, and messages that are lost or late: what is drawn alone has them too seldom.
+  // Every seed has a drain, and messages of prefill or decode instances that are lost or late: what is drawn
+  // alone has them too seldom.
   constexpr std::array kAlways{FaultKind::kReadNothing, FaultKind::kLoseAnswers, FaultKind::kLoseRequests};
-  for (const FaultKind kind : {FaultKind::kDrain, kAlways.at(seed / 2 % kAlways.size())})
-    plan.faults.push_back(
-        {.kind = kind,
-         .target = number(0, 1'000'000),
-         .atMs = centreMs + number(-800, 800),
-         .forMs = static_cast<double>(number(static_cast<int>(kMostMs) / 2, static_cast<int>(kMostMs))),
-         .rule = {}});
+  constexpr int kRoles = 3, kRolesInTurn = 2;  // prefill, decode and mixed by number; the first two
+  const int role = static_cast<int>(seed / 2 % kRolesInTurn);
+  const int instance = number(0, 1'000'000) * kRoles + role;
+  const double lastsMs = number(static_cast<int>(kMostMs) / 2, static_cast<int>(kMostMs));
+  const FaultKind always = kAlways.at(seed / 2 % kAlways.size());
+  plan.faults.push_back({always, instance, centreMs + number(-800, 800), lastsMs, {}});
+  plan.faults.push_back({FaultKind::kDrain, number(0, 1'000'000), centreMs + number(-800, 800), 0, {}});
   return plan;
 }
 
--- a/src/fleet/reservation_lease.h
+++ b/src/fleet/reservation_lease.h
@@ -16,7 +16,7 @@
   enum class Answer { kGranted, kRefused, kUnknown, kNone };
   enum class Step { kNone, kRenew, kRelease };
 
-  /// The protocol allows 300 ms over the settings' time limit. A renewal goes out in the middle of them: each
+  /// The protocol allows 300 ms over the settings' time limit. A renewal goes out late in them: each
   /// one costs its instance work, and most prefills end before it is due.
   static constexpr double kRenewLateMs = 200;
   static constexpr double kRenewalAnswerMs = 80;  ///< a grant comes at once; "not known" comes 300 ms late
