A failing test: a reservation granted once its request is served stays held

Cause, by the ledger: the decode instance read the call after the prefill had ended and the stream had begun, and granted it; ReservationLease::grant() takes that for over, where the code before the lease released it.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -208,6 +208,16 @@
   ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
 }
 
+// The same with a grant that comes so late: its instance was stopped, and the first event had released the rest.
+TEST(Releases, FollowAReservationThatIsGrantedOnceItsRequestIsServed) {
+  Held held;
+  const auto reply = held.servedWithItsPlaceOut();
+  ASSERT_TRUE(reply->whole);
+  EXPECT_EQ(held.releases(), 0);
+  held.placeCall().connection->answer(200, {}, "");
+  ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
+}
+
 // A read that never reached its reader, as that no longer reads the connection: no instance counts an
 // attempt, and the place that was asked for with it is held, though nothing says so. One that is said to be
 // held has its read out.
