Release a reservation that is granted once its request streams or is over

Cause: ReservationLease::grant() after prefillEnded() is over; the code before the lease released such a grant where nothing held can be of use any more. Change: Reservations::answered() does.

--- a/src/fronts/boxes/reservations.cpp
+++ b/src/fronts/boxes/reservations.cpp
@@ -121,8 +121,11 @@
   if (!first) ++counters_["places.renewed." + std::to_string(status)];
   const core::AttemptKey prefill = reservation.prefill;
   const EngineId engine = reservation.engine;
+  const RequestId request = reservation.request;
   reservation.lease.answered(answerOf(status));
   settle(number);
+  // A grant that comes once the request streams, or is over, is taken by nobody.
+  if (status == kGranted && conductor_.needsNothingHeld(request)) releases_.release(request);
   // 204: not known. A place may be held, and a note that none is would be a guess.
   if (status == kGranted && first) conductor_.placeAnswered(prefill, engine, true);
   if (answerOf(status) == ReservationLease::Answer::kRefused)
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -208,7 +208,8 @@
   ASSERT_TRUE(held.until([&] { return held.releases() == 1; }));
 }
 
-// The same with a grant that comes so late: its instance was stopped, and the first event had released the rest.
+// The same with a grant that comes so late: its instance was stopped, and the first event had released the
+// rest.
 TEST(Releases, FollowAReservationThatIsGrantedOnceItsRequestIsServed) {
   Held held;
   const auto reply = held.servedWithItsPlaceOut();
