--- a/src/fronts/boxes/boxes.cpp
+++ b/src/fronts/boxes/boxes.cpp
@@ -186,11 +186,12 @@
   void end(const core::Result& result) {
     Boxes& boxes = boxes_;
     const core::AttemptKey key = key_;
+    const bool prefills = reads_;  // the entry may be the last that holds this
     boxes.deadlines_.cancel(last_);
     boxes.deadlines_.cancel(stall_);
     boxes.deadlines_.cancel(taken_);
     boxes.attempts_.erase(key.slot);
-    if (reads_) boxes.reservations_.prefillEnded(key);
+    if (prefills) boxes.reservations_.prefillEnded(key);
     boxes.conductor_.ended(key, result);
   }
 
