Show drains missed after a reload that fails, comes early, or meets an empty line

The soak's reload neither changed the file nor moved discovery. It does now (move_discovery): a router gets a configuration with another address and SIGHUP; the file is missing, cut off, unusable or still the old one at that moment; the new address refuses, is silent, answers 503, or breaks after an empty line; the old address goes 0 to 3 s later or stays. Drains come 4.1 s after the move or during it, and count as told 4 s after SIGHUP at the earliest.

--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -104,9 +104,20 @@
     return;
   const std::string request = target.substr(kReservationPath.size());
   if (call.request.method_string() == "DELETE")
-    release(call.connection, request);
-  else
-    reserve(call.connection, request);
+    return release(call.connection, request);
+  if (environment_.requestLog.knows(request))
+    noteSend(request, Send::kReservation, call);
+  reserve(call.connection, request);
+}
+
+void Instance::noteSend(const std::string& request, Send send, const Call& call) {
+  ClientView& view = environment_.requestLog.entry(request);
+  view.arrivals.push_back({.atMs = call.arrivedMs,
+                           .instance = number_,
+                           .budgetMs = std::atof(std::string(call.request["X-Budget-Ms"]).c_str()),
+                           .rejected = rejects(),
+                           .send = send,
+                           .drainNotifiedMs = drainNotifiedMs_(view.router, number_)});
 }
 
 void Instance::release(const Connection& connection, const std::string& request) {
@@ -121,6 +132,8 @@
     return answer(connection, 404, {}, "");
   heldState_.reservationArrived(request, number_, now());
   heldState_.drop(request, HeldStateMonitor::Kind::kReservation);
+  if (rejectsNewWork_)
+    return answer(connection, 409, {}, "");
   const bool known = rule_ == ReservationRule::kByArrival ? heldState_.prefillHasArrived(request)
                                                           : heldState_.attemptIsOut(request);
   if (known && environment_.drawn(0, 1) < kRefusedShare)
@@ -137,13 +150,7 @@
     environment_.requestLog.addViolation("unknown",
                                          "an attempt with an id that no client sent: " + id);
   const bool prefills = kind_ == "reader";
-  ClientView& view = environment_.requestLog.entry(id);
-  view.arrivals.push_back({.atMs = call.arrivedMs,
-                           .instance = number_,
-                           .budgetMs = std::atof(std::string(call.request["X-Budget-Ms"]).c_str()),
-                           .rejected = behaviour_ == Behaviour::kRejects,
-                           .prefills = prefills,
-                           .drainNotifiedMs = drainNotifiedMs_(view.router, number_)});
+  noteSend(id, prefills ? Send::kPrefill : Send::kDecode, call);
   if (prefills)
     heldState_.prefillArrived(id, number_, now());
   if (ignored || call.connection->state() != net::ClientConnection::State::kAnswering)
@@ -152,7 +159,7 @@
   running_[call.connection.get()] = {id, prefills};
   if (behaviour_ == Behaviour::kHangs)
     return;
-  if (behaviour_ == Behaviour::kRejects || behaviour_ == Behaviour::kResets) {
+  if (rejects() || behaviour_ == Behaviour::kResets) {
     end(call.connection.get());
     if (behaviour_ == Behaviour::kResets)
       return call.connection->abortResponse();
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -51,6 +51,8 @@
   void writable(net::ClientConnection&) override {}
   void reject(net::ClientConnection& connection, unsigned status, std::string_view why) override;
   void behave(Behaviour behaviour, double forMs);
+  /// From now on attempts are turned away and reservations denied, as a draining instance may.
+  void rejectNewWork() { rejectsNewWork_ = true; }
   const std::string& kind() const { return kind_; }
   net::Endpoint address() const { return listener_.address(); }
 
@@ -73,6 +75,8 @@
   void attempt(const Call& call, bool ignored);
   void prefill(const Connection& connection, const std::string& request);
   void decode(const Connection& connection, const std::string& request);
+  void noteSend(const std::string& request, Send send, const Call& call);
+  bool rejects() const { return rejectsNewWork_ || behaviour_ == Behaviour::kRejects; }
   void reserve(const Connection& connection, const std::string& request);
   void release(const Connection& connection, const std::string& request);
   void stream(const Connection& connection, int left);
@@ -91,6 +95,7 @@
   std::string kind_;
   DrainNotifiedMs drainNotifiedMs_;
   Behaviour behaviour_ = Behaviour::kServes;
+  bool rejectsNewWork_ = false;
   std::vector<Call> unread_;
   std::map<const net::ClientConnection*, Running> running_;
   std::map<const net::ClientConnection*, Silence> silence_;
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <stdexcept>
+#include <utility>
 
 namespace inference_router::soak {
 
@@ -11,10 +13,13 @@
 
 namespace {
 
-constexpr std::array kNames{"system_calls", "terminate",      "kill",         "stop",
-                            "reload",       "drain",          "hang",         "reset",
-                            "reject",       "discovery_down", "read_nothing", "lose_answers",
-                            "lose_requests"};
+constexpr std::array kNames{"system_calls",  "terminate",      "kill",         "stop",
+                            "reload",        "drain",          "hang",         "reset",
+                            "reject",        "discovery_down", "read_nothing", "lose_answers",
+                            "lose_requests", "move_discovery"};
+constexpr std::array kFileFaultNames{"none", "missing", "truncated", "old", "unusable"};
+constexpr std::array kNewAddressFaultNames{"none", "empty_line_first", "silent", "refused",
+                                           "errors"};
 
 // Of the settings' classes, in turn over the seeds.
 constexpr std::array kDeadlinesMs{3'000.0, 500.0, 7'000.0, 800.0, 1'500.0};
@@ -47,12 +52,57 @@
 constexpr int kLeastFaults = 4, kMaxFaults = 9;
 constexpr double kLeastMs = 100, kMaxMs = 1'500;
 
+// Discovery at the old address: gone at once, after a while, or not before the end of the play.
+constexpr std::array kOldAddressForMs{1'500.0, 0.0, 3'000.0, 60'000.0};
+constexpr int kMovedRouters = 3;
+constexpr int kLatestMoveMs = 1'500;
+// After SIGHUP the list at the new address counts as known from here on.
+constexpr double kMoveAllowanceMs = 4'000;
+constexpr int kLatestDrainAfterMoveMs = 1'500;
+
+// Goes through all combinations of faults as the number rises.
+DiscoveryMove moveOf(std::uint64_t number) {
+  const auto file = number % kFileFaultNames.size();
+  const auto address = number / kFileFaultNames.size() % kNewAddressFaultNames.size();
+  return {static_cast<FileFault>(file), static_cast<NewAddressFault>(address),
+          kOldAddressForMs.at(number % kOldAddressForMs.size())};
+}
+
+template <class Value, class Names>
+Value valueNamed(const Names& names, const std::string& name) {
+  const auto* const it = std::find(names.begin(), names.end(), name);
+  if (it == names.end())
+    throw std::invalid_argument("a plan names no fault: " + name);
+  return static_cast<Value>(it - names.begin());
+}
+
+json jsonOf(const DiscoveryMove& move) {
+  return {{"file", nameOf(move.file)},
+          {"new_address", nameOf(move.newAddress)},
+          {"old_address_for_ms", move.oldAddressForMs}};
+}
+
+DiscoveryMove moveIn(const json& entry) {
+  return {valueNamed<FileFault>(kFileFaultNames, entry.at("file").get<std::string>()),
+          valueNamed<NewAddressFault>(kNewAddressFaultNames,
+                                      entry.at("new_address").get<std::string>()),
+          entry.at("old_address_for_ms")};
+}
+
 }  // namespace
 
 const char* nameOf(FaultKind fault) {
   return kNames.at(static_cast<std::size_t>(fault));
 }
 
+const char* nameOf(FileFault fault) {
+  return kFileFaultNames.at(static_cast<std::size_t>(fault));
+}
+
+const char* nameOf(NewAddressFault fault) {
+  return kNewAddressFaultNames.at(static_cast<std::size_t>(fault));
+}
+
 Plan drawPlan(std::uint64_t seed, int routers, int instances, double lengthMs) {
   std::mt19937_64 random(seed);
   const auto number = [&](int min, int max) {
@@ -66,6 +116,7 @@
   plan.maxDeadlineMs = kDeadlinesMs.at(seed % kDeadlinesMs.size());
   plan.reservationsByArrival = seed % 2 == 0;
   plan.idleClients = seed % kCrowdEvery == 3 ? kCrowd : 0;
+  plan.drainingRejects = seed / 2 % 2 == 0;
   // Faults gather about one moment, so that they overlap.
   const double centreMs = number(3'000, static_cast<int>(lengthMs) - 4'000);
   for (int left = number(kLeastFaults, kMaxFaults); left > 0; --left) {
@@ -80,6 +131,8 @@
     if (next.kind == FaultKind::kSystemCalls)
       next.rule =
           kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
+    if (next.kind == FaultKind::kMoveDiscovery)
+      next.move = moveOf(static_cast<std::uint64_t>(next.target));
     plan.faults.push_back(next);
   }
   // Every seed has a drain, and messages of prefill or decode instances that are lost or late: what
@@ -91,20 +144,40 @@
   const int instance = number(0, 1'000'000) * kRoles + role;
   const double lastsMs = number(static_cast<int>(kMaxMs) / 2, static_cast<int>(kMaxMs));
   const FaultKind always = kAlways.at(seed / 2 % kAlways.size());
-  plan.faults.push_back({always, instance, centreMs + number(-800, 800), lastsMs, {}});
+  plan.faults.push_back({always, instance, centreMs + number(-800, 800), lastsMs, {}, {}});
   plan.faults.push_back(
-      {FaultKind::kDrain, number(0, 1'000'000), centreMs + number(-800, 800), 0, {}});
+      {FaultKind::kDrain, number(0, 1'000'000), centreMs + number(-800, 800), 0, {}, {}});
+  // Every seed moves discovery for some routers. An instance of each of the first two roles begins
+  // to drain once the new address counts, or in every other seed one of them during the move.
+  const double moveMs = number(0, kLatestMoveMs);
+  for (int i = 0; i < kMovedRouters; ++i) {
+    const DiscoveryMove move = moveOf(seed + static_cast<std::uint64_t>(i) * 7);
+    const double forMs = number(static_cast<int>(kLeastMs), static_cast<int>(kMaxMs));
+    plan.faults.push_back(
+        {FaultKind::kMoveDiscovery, number(0, 1'000'000), moveMs, forMs, {}, move});
+  }
+  for (int drained = 0; drained < kRolesInTurn; ++drained) {
+    const bool duringMove = drained == 0 && seed % 2 == 1;
+    const double fromMs = duringMove ? moveMs : moveMs + kMoveAllowanceMs;
+    const double atMs = fromMs + number(100, kLatestDrainAfterMoveMs);
+    plan.faults.push_back(
+        {FaultKind::kDrain, number(0, 1'000'000) * kRoles + drained, atMs, 0, {}, {}});
+  }
   return plan;
 }
 
 std::string textOf(const Plan& plan) {
   json list = json::array();
-  for (const PlannedFault& fault : plan.faults)
-    list.push_back({{"fault", nameOf(fault.kind)},
-                    {"target", fault.target},
-                    {"at_ms", fault.atMs},
-                    {"for_ms", fault.forMs},
-                    {"rule", fault.rule}});
+  for (const PlannedFault& fault : plan.faults) {
+    json entry{{"fault", nameOf(fault.kind)},
+               {"target", fault.target},
+               {"at_ms", fault.atMs},
+               {"for_ms", fault.forMs},
+               {"rule", fault.rule}};
+    if (fault.kind == FaultKind::kMoveDiscovery)
+      entry["move"] = jsonOf(fault.move);
+    list.push_back(std::move(entry));
+  }
   return json{{"seed", plan.seed},
               {"conductors", plan.routers},
               {"instances", plan.instances},
@@ -113,6 +186,7 @@
               {"longest_deadline_ms", plan.maxDeadlineMs},
               {"reservations_by_arrival", plan.reservationsByArrival},
               {"idle_clients", plan.idleClients},
+              {"draining_rejects", plan.drainingRejects},
               {"faults", list}}
       .dump(2);
 }
@@ -129,22 +203,23 @@
     plan.maxDeadlineMs = complete.at("longest_deadline_ms");
     plan.reservationsByArrival = complete.at("reservations_by_arrival");
     plan.idleClients = complete.at("idle_clients");
+    plan.drainingRejects = complete.value("draining_rejects", false);
     for (const json& entry : complete.at("faults")) {
       PlannedFault next;
-      const auto name = entry.at("fault").get<std::string>();
-      const auto* const it = std::find(kNames.begin(), kNames.end(), name);
-      if (it == kNames.end())
-        return std::nullopt;
-      next.kind = static_cast<FaultKind>(it - kNames.begin());
+      next.kind = valueNamed<FaultKind>(kNames, entry.at("fault").get<std::string>());
       next.target = entry.at("target");
       next.atMs = entry.at("at_ms");
       next.forMs = entry.at("for_ms");
       next.rule = entry.at("rule");
+      if (next.kind == FaultKind::kMoveDiscovery)
+        next.move = moveIn(entry.at("move"));
       plan.faults.push_back(next);
     }
     return plan;
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
   }
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -24,15 +24,46 @@
   kLoseAnswers,    ///< connections to some instances of one role carry no more answers
   kLoseRequests,   ///< connections to some instances of one role carry nothing more, without an
                    ///< error
+  kMoveDiscovery,  ///< one router gets a configuration with another address of discovery, and
+                   ///< SIGHUP
 };
 const char* nameOf(FaultKind fault);
 
+/// The configuration file at the moment of SIGHUP. It is complete and new when the fault ends; no
+/// further signal tells of that.
+enum class FileFault {
+  kNone,
+  kMissing,
+  kTruncated,
+  kOld,       ///< still the previous configuration
+  kUnusable,  ///< valid JSON with settings that cannot be used
+};
+const char* nameOf(FileFault fault);
+
+/// Discovery at a new address, until the fault ends.
+enum class NewAddressFault {
+  kNone,
+  kEmptyLineFirst,  ///< a watch gets an empty line, and breaks before the list
+  kSilent,          ///< calls are accepted and not answered
+  kRefused,         ///< connections are refused
+  kErrors,          ///< calls are answered with 503
+};
+const char* nameOf(NewAddressFault fault);
+
+struct DiscoveryMove {
+  FileFault file = FileFault::kNone;
+  NewAddressFault newAddress = NewAddressFault::kNone;
+  /// Discovery goes on at the old address for so long after SIGHUP, and learns nothing new.
+  double oldAddressForMs = 0;
+};
+
 struct PlannedFault {
   FaultKind kind = FaultKind::kHang;
   int target = 0;  ///< number of the router or instance
   double atMs = 0;
   double forMs = 0;
-  std::string rule;  ///< of kSystemCalls: call, fault and share as the library's plan has them
+  std::string rule;    ///< of kSystemCalls: call, fault and share as the library's plan has them
+  DiscoveryMove move;  ///< of kMoveDiscovery
 };
 
 struct Plan {
@@ -41,8 +72,9 @@
   double lengthMs = 12'000;
   double maxDeadlineMs = 3'000;  ///< of the settings' classes
   bool reservationsByArrival =
-      false;            ///< a reservation is granted where the bytes of its prefill came
-  int idleClients = 0;  ///< that connect to one router and send nothing
+      false;                     ///< a reservation is granted where the bytes of its prefill came
+  int idleClients = 0;           ///< that connect to one router and send nothing
+  bool drainingRejects = false;  ///< draining instances reject attempts and reservations
   std::vector<PlannedFault> faults;
 };
 
--- a/soak/request_log.cpp
+++ b/soak/request_log.cpp
@@ -1,6 +1,7 @@
 #include "request_log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace inference_router::soak {
 
@@ -12,6 +13,11 @@
 constexpr double kAnswerSlackMs = 600;  // after the request's time
 constexpr double kDrainSlackMs = 50;
 
+const char* nameOf(Send send) {
+  constexpr std::array kNames{"prefill", "decode", "reservation"};
+  return kNames.at(static_cast<std::size_t>(send));
+}
+
 std::string number(double value) {
   return std::to_string(static_cast<long>(value));
 }
@@ -27,7 +33,7 @@
     };
     const auto ran = std::count_if(
         view.arrivals.begin(), view.arrivals.end(),
-        [](const Arrival& arrival) { return !arrival.rejected && !arrival.prefills; });
+        [](const Arrival& arrival) { return !arrival.rejected && arrival.send == Send::kDecode; });
     if (view.atMostOnce && ran > 1)
       add("duplicate", std::to_string(ran) + " attempts may have run");
     const bool refused = view.status == 429 || view.status == 503;
@@ -41,6 +47,14 @@
       add("lost",
           "answered " + number(*view.answeredMs - view.sentMs - view.budgetMs) + " ms late");
     for (const Arrival& arrival : view.arrivals) {
+      if (arrival.drainNotifiedMs &&
+          arrival.atMs > *arrival.drainNotifiedMs + drainGraceMs + kDrainSlackMs)
+        add("drain", std::string(nameOf(arrival.send)) + " sent to instance " +
+                         std::to_string(arrival.instance) + " " +
+                         number(arrival.atMs - *arrival.drainNotifiedMs) +
+                         " ms after its drain counted as told");
+      if (arrival.send == Send::kReservation)
+        continue;
       if (view.closedMs && arrival.atMs > *view.closedMs + kGoneSlackMs)
         add("gone", "begun " + number(arrival.atMs - *view.closedMs) +
                         " ms after the client left, " + number(*view.closedMs - view.sentMs) +
@@ -48,10 +62,6 @@
       const double leftMs = view.sentMs + view.budgetMs - arrival.atMs;
       if (arrival.budgetMs > std::max(0.0, leftMs) + kBudgetSlackMs)
         add("deadline", "told " + number(arrival.budgetMs) + " of " + number(leftMs) + " ms");
-      if (arrival.drainNotifiedMs &&
-          arrival.atMs > *arrival.drainNotifiedMs + drainGraceMs + kDrainSlackMs)
-        add("drain",
-            "sent " + number(arrival.atMs - *arrival.drainNotifiedMs) + " ms after it was told");
     }
   }
   return found;
--- a/soak/request_log.h
+++ b/soak/request_log.h
@@ -9,13 +9,16 @@
 
 namespace inference_router::soak {
 
-/// A request as it reached an instance.
+/// What a router sends to an instance for a request.
+enum class Send { kPrefill, kDecode, kReservation };
+
+/// A request, or a reservation for it, as it reached an instance.
 struct Arrival {
   double atMs = 0;
   int instance = 0;
-  double budgetMs = 0;    ///< that the router told
-  bool rejected = false;  ///< the instance proved that it did not run
-  bool prefills = false;  ///< a prefill instance, where nothing has an effect
+  double budgetMs = 0;        ///< that the router told
+  bool rejected = false;      ///< the instance proved that it did not run
+  Send send = Send::kDecode;  ///< of the three only a decode attempt has an effect
   std::optional<double>
       drainNotifiedMs;  ///< when the router's watch had been told that the instance drains
 };
--- a/soak/router_process.cpp
+++ b/soak/router_process.cpp
@@ -5,8 +5,10 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "settings.h"
 
@@ -15,11 +17,13 @@
 RouterProcess::RouterProcess(Programs programs,
                              std::string folder,
                              net::Endpoint listen,
-                             const net::Endpoint& discovery,
-                             const nlohmann::json& settings)
-    : programs_(std::move(programs)), folder_(std::move(folder)), listen_(std::move(listen)) {
-  writeConfiguration(discovery, settings);
-}
+                             net::Endpoint discovery,
+                             nlohmann::json settings)
+    : programs_(std::move(programs)),
+      folder_(std::move(folder)),
+      listen_(std::move(listen)),
+      discovery_(std::move(discovery)),
+      settings_(std::move(settings)) {}
 
 RouterProcess::~RouterProcess() {
   if (!running())
@@ -28,15 +32,46 @@
   ::waitpid(process_, nullptr, 0);
 }
 
-void RouterProcess::writeConfiguration(const net::Endpoint& discovery,
-                                       const nlohmann::json& settings) const {
-  std::ofstream(folder_ + "/config.json") << nlohmann::json{
-      {"name", "n0"}, {"listen", textOf(listen_)},    {"discovery", textOf(discovery)},
-      {"seed", "7"},  {"limits", {{"sockets", 256}}}, {"settings", settings}};
+nlohmann::json RouterProcess::configuration() const {
+  return {{"name", "n0"}, {"listen", textOf(listen_)},    {"discovery", textOf(discovery_)},
+          {"seed", "7"},  {"limits", {{"sockets", 256}}}, {"settings", settings_}};
+}
+
+// Other processes see the old file or the new one, whole.
+void RouterProcess::replaceConfiguration(const std::string& text) const {
+  const std::string newPath = configurationPath() + ".new";
+  std::ofstream(newPath) << text;
+  std::filesystem::rename(newPath, configurationPath());
+}
+
+void RouterProcess::completeConfiguration() const {
+  replaceConfiguration(configuration().dump());
+}
+
+void RouterProcess::moveDiscovery(const net::Endpoint& discovery, FileFault fault) {
+  discovery_ = discovery;
+  nlohmann::json next = configuration();
+  const std::string text = next.dump();
+  switch (fault) {
+    case FileFault::kNone:
+      return replaceConfiguration(text);
+    case FileFault::kMissing:
+      std::filesystem::remove(configurationPath());
+      return;
+    case FileFault::kTruncated:
+      std::ofstream(configurationPath()) << text.substr(0, text.size() / 2);
+      return;
+    case FileFault::kOld:
+      return;
+    case FileFault::kUnusable:
+      next["settings"]["peersTotal"] = 0;
+      return replaceConfiguration(next.dump());
+  }
 }
 
 void RouterProcess::start() {
-  std::vector<std::string> variables{"GW_CONFIG=" + folder_ + "/config.json", "TMPDIR=" + folder_,
+  completeConfiguration();
+  std::vector<std::string> variables{"GW_CONFIG=" + configurationPath(), "TMPDIR=" + folder_,
                                      "ASAN_OPTIONS=verify_asan_link_order=0"};
   if (!rules_.empty()) {
     std::ofstream plan(folder_ + "/faults");
--- a/soak/router_process.h
+++ b/soak/router_process.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "net/endpoint.h"
+#include "plan.h"
 
 namespace inference_router::soak {
 
@@ -23,12 +24,17 @@
   RouterProcess(Programs programs,
                 std::string folder,
                 net::Endpoint listen,
-                const net::Endpoint& discovery,
-                const nlohmann::json& settings);
+                net::Endpoint discovery,
+                nlohmann::json settings);
   ~RouterProcess();
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
 
+  /// Changes the address of discovery in the configuration. From here on the file is complete and
+  /// new at every start, and faulty as told meanwhile.
+  void moveDiscovery(const net::Endpoint& discovery, FileFault fault);
+  /// Ends the fault of the file.
+  void completeConfiguration() const;
   /// Lines of the library's plan, for the processes that start from now on.
   void faults(std::vector<std::string> rules) { rules_ = std::move(rules); }
   void start();
@@ -41,11 +47,14 @@
   const net::Endpoint& address() const { return listen_; }
 
  private:
-  void writeConfiguration(const net::Endpoint& discovery, const nlohmann::json& settings) const;
+  std::string configurationPath() const { return folder_ + "/config.json"; }
+  nlohmann::json configuration() const;
+  void replaceConfiguration(const std::string& text) const;
 
   Programs programs_;
   std::string folder_;
-  net::Endpoint listen_;
+  net::Endpoint listen_, discovery_;
+  nlohmann::json settings_;
   std::vector<std::string> rules_;
   pid_t process_ = -1;
 };
