Retry a reload until its file can be used, and look at the file again after SIGHUP

Callers saw: new work sent to servers that drained, from the grace on until the next signal or restart.

Cause: SIGHUP was the only occasion on which the file was read, and a read that failed ended the matter: Server::reload() logged the error and returned. A file that was still the old one at that moment was taken for "nothing has changed". The router then kept asking discovery's old address, and once that was gone it had no watch and the list of the first seconds.

Change: ReloadRetry tries again after 0.1 s, doubling up to 1 s, until the file is in use or another signal comes. The operator's file goes the same way. Attempts, reasons and the next attempt are logged; reloads.retry_failed and reloads.refreshed count; the new admin call `config` says whether a reload is pending, since when, why, and when it is tried next.

--- a/src/app/admin_service.cpp
+++ b/src/app/admin_service.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "app/reload_retry.h"
+
 namespace inference_router::app {
 
 using control::CommandResult;
@@ -67,6 +69,11 @@
   return counts;
 }
 
+std::string AdminService::configurationReport() {
+  const double nowMs = context_.server.clock.nowMs();
+  return describe(context_.server.reloads.pending(), nowMs) + "\n";
+}
+
 std::string AdminService::admissionReport() {
   return context_.admission == nullptr ? "" : context_.admission->report();
 }
--- a/src/app/admin_service.h
+++ b/src/app/admin_service.h
@@ -25,9 +25,9 @@
     HotRestart& hotRestart;
     ExclusionStore& exclusions;
     LifecycleTracker& lifecycles;
-    AdmissionWatch* admission = nullptr;        ///< null: there are no admission rules
-    Coordinator* coordinator = nullptr;         ///< null: this router shares nothing
-    SharedStateService* sharedState = nullptr;  ///< null: it shares nothing but leases
+    AdmissionWatch* admission = nullptr;             ///< null: there are no admission rules
+    Coordinator* coordinator = nullptr;              ///< null: this router shares nothing
+    SharedStateService* sharedState = nullptr;       ///< null: it shares nothing but leases
   };
 
   explicit AdminService(const Context& context) : context_(context) {}
@@ -44,6 +44,7 @@
   control::InstanceCounts instanceCounts() override;
 
   std::string instancesReport() override { return context_.lifecycles.report(); }
+  std::string configurationReport() override;
   std::string admissionReport() override;
   std::string leasesReport(control::ReportFormat format) override;
   std::string maintenanceReport() override;
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <string_view>
 
@@ -95,12 +96,17 @@
   return environment;
 }
 
-json readJson(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
+std::string readText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf()))
     throw fileError("", "cannot read " + path);
+  return text.str();
+}
+
+json parseJson(const std::string& text, const std::string& path) {
   try {
-    return json::parse(file);
+    return json::parse(text);
   } catch (const json::exception& fault) {
     throw fileError("", path + ": " + fault.what());
   }
--- a/src/app/config.h
+++ b/src/app/config.h
@@ -42,8 +42,10 @@
 /// variables: NAME=value each, ended by a null pointer, as in `environ`.
 Environment environmentOf(const char* const* variables);
 
-/// Throws ConfigError if the file cannot be read or is no JSON.
-nlohmann::json readJson(const std::string& path);
+/// The content of a file. Throws ConfigError if it cannot be read.
+std::string readText(const std::string& path);
+/// path: named in errors. Throws ConfigError if the text is no JSON.
+nlohmann::json parseJson(const std::string& text, const std::string& path);
 
 /// GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR override what the file says. Throws
 /// ConfigError.
--- a/src/app/serve_operator_file.cpp
+++ b/src/app/serve_operator_file.cpp
@@ -85,8 +85,8 @@
 class OperatorFileRouter {
  public:
   OperatorFileRouter(const OperatorFile& file, const Telemetry& telemetry);
-  /// Returns when the process is to end.
-  void run(const Reread<OperatorFile>& reread);
+  /// Returns when the process is to end. source: of the configuration, for reloads.
+  void run(ConfigurationFile<OperatorFile>& source);
 
  private:
   void reload(OperatorFile reread);
@@ -156,7 +156,7 @@
     front_.setTokenMeter(sharedState_);
 }
 
-void OperatorFileRouter::run(const Reread<OperatorFile>& reread) {
+void OperatorFileRouter::run(ConfigurationFile<OperatorFile>& source) {
   logListening("chat API", listener_);
   hotRestart_.start();
   if (adminEndpoint_)
@@ -166,7 +166,9 @@
     shutdown.resign = [this] { coordinator_->resign(); };
     shutdown.hasResigned = [this] { return coordinator_->hasResigned(); };
   }
-  server_->run(listener_, std::move(shutdown), [&] { reload(reread()); });
+  server_->run(listener_, std::move(shutdown),
+               reloadSteps<OperatorFile>(
+                   source, [this](OperatorFile reread) { reload(std::move(reread)); }));
 }
 
 void OperatorFileRouter::reload(OperatorFile reread) {
@@ -210,10 +212,8 @@
   server.list(current.instances);
 }
 
-void serveOperatorFile(const OperatorFile& file,
-                       const Telemetry& telemetry,
-                       const Reread<OperatorFile>& reread) {
-  OperatorFileRouter(file, telemetry).run(reread);
+void serveOperatorFile(ConfigurationFile<OperatorFile> file, const Telemetry& telemetry) {
+  OperatorFileRouter(file.read(), telemetry).run(file);
 }
 
 }  // namespace inference_router::app
--- a/src/app/serve_operator_file.h
+++ b/src/app/serve_operator_file.h
@@ -1,6 +1,7 @@
 /// A router at a small site: the chat API, in front of the instances of an operator's file.
 #pragma once
 
+#include "app/configuration_file.h"
 #include "app/server.h"
 #include "app/serving.h"
 #include "frontend/openai/operator_file.h"
@@ -13,8 +14,6 @@
 
 /// Serves until the process is asked to end. SIGHUP applies the file anew. Throws what prevents the
 /// start.
-void serveOperatorFile(const frontend::OperatorFile& file,
-                       const Telemetry& telemetry,
-                       const Reread<frontend::OperatorFile>& reread);
+void serveOperatorFile(ConfigurationFile<frontend::OperatorFile> file, const Telemetry& telemetry);
 
 }  // namespace inference_router::app
--- a/src/app/serve_platform.cpp
+++ b/src/app/serve_platform.cpp
@@ -57,14 +57,14 @@
 /// The parts of one router, in the order in which they depend on each other.
 class PlatformRouter {
  public:
-  PlatformRouter(const Config& config, const Telemetry& telemetry);
-  /// Returns when the process is to end.
-  void run(const Reread<Config>& reread);
+  PlatformRouter(Config config, const Telemetry& telemetry);
+  /// Returns when the process is to end. source: of the configuration, for reloads.
+  void run(ConfigurationFile<Config>& source);
 
  private:
   void applyReload(const Config& reread);
 
-  const Config& config_;
+  const Config config_;
   std::optional<net::Endpoint> discoveryInFile_;  // as the file said it last
   boost::asio::io_context io_;
   const core::SystemClock clock_;
@@ -82,47 +82,47 @@
   const std::unique_ptr<net::LineServer> adminEndpoint_;
 };
 
-PlatformRouter::PlatformRouter(const Config& config, const Telemetry& telemetry)
-    : config_(config),
-      discoveryInFile_(config.discoveryInFile),
-      limits_{availableDescriptors(config.limits.sockets)},
-      server_(makeServer(io_, clock_, config, limits_, telemetry)),
-      front_(server_->dispatcher, config.setup.names, clock_, server_->counters),
-      discovery_(startDiscovery(*server_, config)),
+PlatformRouter::PlatformRouter(Config config, const Telemetry& telemetry)
+    : config_(std::move(config)),
+      discoveryInFile_(config_.discoveryInFile),
+      limits_{availableDescriptors(config_.limits.sockets)},
+      server_(makeServer(io_, clock_, config_, limits_, telemetry)),
+      front_(server_->dispatcher, config_.setup.names, clock_, server_->counters),
+      discovery_(startDiscovery(*server_, config_)),
       exporter_(makeExporter(*server_, telemetry)),
       listener_(io_,
-                config.listen,
+                config_.listen,
                 limits_.clients(),
                 front_,
                 clock_,
                 server_->timers,
                 server_->counters,
-                {.sharedPort = config.admin.has_value(),
+                {.sharedPort = config_.admin.has_value(),
                  .open = false,
                  .admissionController = nullptr,
                  .descriptorBudget = &server_->descriptorBudget}),
-      folder_(makeSharedFolder(config)),
+      folder_(makeSharedFolder(config_)),
       exclusions_(*server_, folder_.get()),
       hotRestart_({.server = *server_,
                    .listener = listener_,
                    .front = front_,
-                   .setup = config.setup,
+                   .setup = config_.setup,
                    .limits = limits_,
                    .listConfirmed = [this] { return discovery_->hasWatch(); }},
                   folder_.get(),
                   exclusions_),
-      lifecycles_(*server_, config.setup),
+      lifecycles_(*server_, config_.setup),
       adminService_({.server = *server_,
                      .listener = listener_,
-                     .setup = config.setup,
+                     .setup = config_.setup,
                      .hotRestart = hotRestart_,
                      .exclusions = exclusions_,
                      .lifecycles = lifecycles_}),
-      adminEndpoint_(makeAdminEndpoint(config.admin, adminService_, *server_)) {
+      adminEndpoint_(makeAdminEndpoint(config_.admin, adminService_, *server_)) {
   front_.setReadinessCheck([this] { return !listener_.evacuated(); });
 }
 
-void PlatformRouter::run(const Reread<Config>& reread) {
+void PlatformRouter::run(ConfigurationFile<Config>& source) {
   logListening(config_.name, listener_);
   hotRestart_.start();
   if (adminEndpoint_)
@@ -131,7 +131,8 @@
   shutdown.hasSuccessor = [this] { return hotRestart_.hasSuccessor(); };
   shutdown.handOver = [this] { hotRestart_.handOver(); };
   shutdown.hasResigned = [this] { return !hotRestart_.handoverUnderWay(); };
-  server_->run(listener_, std::move(shutdown), [&] { applyReload(reread()); });
+  server_->run(listener_, std::move(shutdown),
+               reloadSteps<Config>(source, [this](const Config& reread) { applyReload(reread); }));
 }
 
 // $GW_DISCOVERY holds what counted at the start: only a change within the file says that discovery
@@ -158,8 +159,8 @@
           .graceMs = graceMs};
 }
 
-void servePlatform(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread) {
-  PlatformRouter(config, telemetry).run(reread);
+void servePlatform(ConfigurationFile<Config> file, const Telemetry& telemetry) {
+  PlatformRouter(file.read(), telemetry).run(file);
 }
 
 }  // namespace inference_router::app
--- a/src/app/serve_platform.h
+++ b/src/app/serve_platform.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "app/config.h"
+#include "app/configuration_file.h"
 #include "app/server.h"
 #include "app/serving.h"
 
@@ -12,6 +13,6 @@
 
 /// Serves until the process is asked to end. SIGHUP takes over the file's `discovery`. Throws what
 /// prevents the start.
-void servePlatform(const Config& config, const Telemetry& telemetry, const Reread<Config>& reread);
+void servePlatform(ConfigurationFile<Config> file, const Telemetry& telemetry);
 
 }  // namespace inference_router::app
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -61,6 +61,7 @@
                      dispatcher,
                      {pool, directory, clock, timers, counters},
                      core::toMs(setup.settings.contract.releaseLimit)),
+      reloads(clock, timers, counters),
       signals_(io, SIGTERM, SIGINT, SIGUSR1) {
   for (std::size_t i = 0; i < kOwnDescriptors; ++i)
     descriptorBudget.force(admission::Account::kOwn);
@@ -75,10 +76,10 @@
   instanceClient.reconfigure(std::move(protocol), core::toMs(settings.contract.releaseLimit));
 }
 
-void Server::run(net::Listener& listener, ShutdownOptions shutdown, std::function<void()> reload) {
+void Server::run(net::Listener& listener, ShutdownOptions shutdown, ReloadSteps reloadSteps) {
   listener_ = &listener;
   shutdown_ = std::move(shutdown);
-  reload_ = std::move(reload);
+  reloads.setSteps(std::move(reloadSteps));
   waitForSignal();
   changeReloadSignalMask(SIG_UNBLOCK);
   io.run();
@@ -99,7 +100,7 @@
     case SIGUSR1:
       return logCounters(counters);
     case SIGHUP:
-      return this->reload();
+      return reloads.request();  // also while the process drains: open requests need the list
     default:
       return stop();
   }
@@ -120,18 +121,6 @@
     shutdown_.handOver();
 }
 
-// Also while the process drains: its open requests still need the endpoint list. A configuration
-// that cannot be read or used leaves everything as it was.
-void Server::reload() {
-  try {
-    reload_();
-    ++counters["reloads.done"];
-  } catch (const std::exception& fault) {
-    ++counters["reloads.failed"];
-    spdlog::error("SIGHUP: the configuration cannot be used, the old one stays: {}", fault.what());
-  }
-}
-
 // All clients have their answers; what instances hold for them is released before the process ends.
 void Server::finish() {
   if (!finishedMs_)
--- a/src/app/server.h
+++ b/src/app/server.h
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "app/config.h"
+#include "app/reload_retry.h"
 #include "core/request_dispatcher.h"
 #include "fleet/membership.h"
 #include "frontend/openai/openai_front.h"
@@ -53,9 +54,9 @@
          ServerOptions options);
 
   /// Runs until SIGTERM or SIGINT has been followed by the end of all requests that were accepted.
-  /// Counters go to the log on SIGUSR1 and at the end. SIGHUP calls reload, whose exceptions are
-  /// logged and change nothing else.
-  void run(net::Listener& listener, ShutdownOptions shutdown, std::function<void()> reload);
+  /// Counters go to the log on SIGUSR1 and at the end. SIGHUP reloads, and a reload that fails is
+  /// logged and tried again.
+  void run(net::Listener& listener, ShutdownOptions shutdown, ReloadSteps reloadSteps);
 
   /// Passes a list through the membership to the decision module.
   void list(routing::EndpointListUpdate update) override {
@@ -76,12 +77,12 @@
   net::ConnectionPool pool;
   upstream::InstanceDirectory directory;
   upstream::HttpInstanceClient instanceClient;
+  ReloadRetry reloads;
 
  private:
   void waitForSignal();
   void onSignal(int signal);
   void stop();
-  void reload();
   void finish();
   bool mayEnd() const;
 
@@ -90,7 +91,6 @@
   ShutdownOptions shutdown_;
   std::optional<double> stoppedMs_;   // when a signal asked for the end
   std::optional<double> finishedMs_;  // when the last client was gone
-  std::function<void()> reload_;
 };
 
 /// Keeps SIGHUP pending until run() handles it: its default action would end the program. To be
--- a/src/app/serving.h
+++ b/src/app/serving.h
@@ -6,8 +6,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
+#include "app/configuration_file.h"
 #include "app/otlp.h"
+#include "app/reload_retry.h"
 #include "app/server.h"
 #include "control/admin_api.h"
 #include "net/endpoint.h"
@@ -21,14 +24,24 @@
   bool trace = false;  ///< log events and actions of the decision module
 };
 
-/// Reads the configuration again, whole, or throws. Nothing is changed before it has returned.
-template <class Configuration>
-using Reread = std::function<Configuration()>;
-
 /// The time after SIGTERM in which new connections may still arrive: clients learn of the end up to
 /// 0.4 s later.
 constexpr double kAcceptAfterStopMs = 500;
 
+/// Steps of a reload that read a file and pass it to apply, which throws before it changes
+/// anything. The file must outlive them.
+template <class Configuration>
+ReloadSteps reloadSteps(ConfigurationFile<Configuration>& file,
+                        const std::function<void(Configuration)>& apply) {
+  const auto refresh = [&file, apply] {
+    std::optional<Configuration> changed = file.readIfChanged();
+    if (changed)
+      apply(std::move(*changed));
+    return changed.has_value();
+  };
+  return {.reload = [&file, apply] { apply(file.read()); }, .refresh = refresh};
+}
+
 /// As many descriptors as configured, and no more than the system gives; raises the soft limit.
 std::size_t availableDescriptors(std::size_t configured);
 
--- a/src/control/admin_api.h
+++ b/src/control/admin_api.h
@@ -50,6 +50,8 @@
   virtual InstanceCounts instanceCounts() = 0;
 
   virtual std::string instancesReport() = 0;
+  /// Whether the configuration file in use is the latest.
+  virtual std::string configurationReport() { return ""; }
   virtual std::string admissionReport() { return ""; }
   virtual std::string leasesReport(ReportFormat /*format*/) { return ""; }
   virtual std::string maintenanceReport() { return ""; }
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -50,6 +50,9 @@
 std::string runInstances(AdminApi& api, const Arguments&) {
   return api.instancesReport() + kEndOfReport;
 }
+std::string runConfiguration(AdminApi& api, const Arguments&) {
+  return reportOr(api.configurationReport(), "there is no configuration file");
+}
 std::string runAdmission(AdminApi& api, const Arguments&) {
   return reportOr(api.admissionReport(), "no admission rules are configured");
 }
@@ -81,6 +84,7 @@
     Command{.name = "evacuate", .rule = ArgumentRule::kNone, .run = runEvacuate},
     Command{.name = "activate", .rule = ArgumentRule::kNone, .run = runActivate},
     Command{.name = "boxes", .rule = ArgumentRule::kNone, .run = runInstances},
+    Command{.name = "config", .rule = ArgumentRule::kNone, .run = runConfiguration},
     Command{.name = "admission", .rule = ArgumentRule::kNone, .run = runAdmission},
     Command{.name = "leases", .rule = ArgumentRule::kOptionalJson, .run = runLeases},
     Command{.name = "shared", .rule = ArgumentRule::kOptionalJson, .run = runShared},
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,10 +9,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "app/admin_client.h"
 #include "app/config.h"
+#include "app/configuration_file.h"
 #include "app/serve_operator_file.h"
 #include "app/serve_platform.h"
 
@@ -87,19 +89,21 @@
   return values;
 }
 
-app::Config readConfig(const options::variables_map& values) {
-  const app::Environment environment = app::environmentOf(environ);
+app::ConfigurationFile<app::Config> configFile(const options::variables_map& values) {
+  app::Environment environment = app::environmentOf(environ);
   const auto variable = environment.find("GW_CONFIG");
   if (values.count("config") == 0 && variable == environment.end())
     throw optionError("config",
                       "no configuration: give --config or --operator FILE, or set GW_CONFIG");
   const std::string path =
       values.count("config") != 0 ? values["config"].as<std::string>() : variable->second;
-  return app::configOf(app::readJson(path), environment);
+  return {path, [environment = std::move(environment)](const nlohmann::json& file) {
+            return app::configOf(file, environment);
+          }};
 }
 
-frontend::OperatorFile readOperatorFile(const options::variables_map& values) {
-  return frontend::operatorFileOf(app::readJson(values["operator"].as<std::string>()));
+app::ConfigurationFile<frontend::OperatorFile> operatorFile(const options::variables_map& values) {
+  return {values["operator"].as<std::string>(), frontend::operatorFileOf};
 }
 
 app::Telemetry readTelemetry(const options::variables_map& values) {
@@ -118,10 +122,9 @@
   const options::variables_map values = parseServeOptions(arguments);
   const app::Telemetry telemetry = readTelemetry(values);
   if (values.count("operator") != 0)
-    app::serveOperatorFile(readOperatorFile(values), telemetry,
-                           [&values] { return readOperatorFile(values); });
+    app::serveOperatorFile(operatorFile(values), telemetry);
   else
-    app::servePlatform(readConfig(values), telemetry, [&values] { return readConfig(values); });
+    app::servePlatform(configFile(values), telemetry);
   return 0;
 }
 
@@ -129,12 +132,12 @@
   const options::variables_map values = parseServeOptions(arguments);
   readTelemetry(values);
   if (values.count("operator") != 0) {
-    const frontend::OperatorFile file = readOperatorFile(values);
+    const frontend::OperatorFile file = operatorFile(values).read();
     std::cout << "usable: " << file.instances.entries.size() << " boxes, " << file.models.size()
               << " models, " << file.keys.size() << " keys\n";
     return 0;
   }
-  const app::Config config = readConfig(values);
+  const app::Config config = configFile(values).read();
   std::cout << "usable: " << config.name << ", " << config.setup.settings.classes.size()
             << " classes, " << config.setup.settings.kinds.size() << " kinds of box\n";
   return 0;
@@ -177,7 +180,7 @@
         "", "the command is 'admission explain --operator FILE --address A [--key-name K]'");
   arguments.erase(arguments.begin());
   const options::variables_map values = parse(arguments, describeExplain());
-  const frontend::OperatorFile file = readOperatorFile(values);
+  const frontend::OperatorFile file = operatorFile(values).read();
   const admission::Address address = addressIn(values);
   const std::optional<std::string> keyName = keyNameIn(values, file);
   if (file.admission)
--- a/tests/discovery_move_processes_test.cpp
+++ b/tests/discovery_move_processes_test.cpp
@@ -57,6 +57,14 @@
   expectDrainsKept(planOf(FileFault::kMissing, NewAddressFault::kNone));
 }
 
+TEST(DiscoveryMove, KeepsDrainsIfFileIsCompletedAfterSighup) {
+  expectDrainsKept(planOf(FileFault::kTruncated, NewAddressFault::kNone));
+}
+
+TEST(DiscoveryMove, KeepsDrainsIfFileCannotBeUsedAtSighup) {
+  expectDrainsKept(planOf(FileFault::kUnusable, NewAddressFault::kNone));
+}
+
 // Guards against a new configuration that is lost because its file is replaced after SIGHUP.
 TEST(DiscoveryMove, KeepsDrainsIfFileIsReplacedAfterSighup) {
   expectDrainsKept(planOf(FileFault::kOld, NewAddressFault::kNone));
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -604,13 +604,14 @@
   raise(SIGHUP);  // by default this would end the program
   RouterFixture fixture(kMixed, true);
   int calls = 0;
-  fixture.server->run(*fixture.listener, {.acceptForMs = 500}, [&] {
+  const auto reload = [&] {
     if (++calls == 1) {
       raise(SIGHUP);
       throw app::ConfigError(app::ConfigInput::kFile, "", "half a file");
     }
     fixture.io.stop();
-  });
+  };
+  fixture.server->run(*fixture.listener, {.acceptForMs = 500}, {.reload = reload});
   EXPECT_EQ(calls, 2);
   EXPECT_EQ(fixture.server->counters["reloads.failed"], 1U);
 }
--- a/tests/support/live_bytes.h
+++ b/tests/support/live_bytes.h
@@ -26,7 +26,8 @@
 
 }  // namespace inference_router
 
-void* operator new(std::size_t size) {
+// Not inlined: GCC would take free() for a mismatched deallocation of what operator new returned.
+[[gnu::noinline]] void* operator new(std::size_t size) {
   void* pointer = std::malloc(size == 0 ? 1 : size);
   if (pointer == nullptr)
     throw std::bad_alloc();
@@ -35,7 +36,7 @@
       std::max(inference_router::peakLiveBytes, inference_router::liveBytes);
   return pointer;
 }
-void operator delete(void* pointer) noexcept {
+[[gnu::noinline]] void operator delete(void* pointer) noexcept {
   if (pointer != nullptr)
     inference_router::liveBytes -= malloc_usable_size(pointer);
   std::free(pointer);
