Wait for a list from a new discovery address before its watch replaces the old one

Callers saw: new work sent to servers that drained while discovery moved, until the drained server changed again.

Cause: a watch counted as soon as it had sent any document, and an empty line is one. At a new address this closed the old watch and credited the new address with the old one's revision, so that the next call there asked for changes after a revision that it may not have reached. An error response whose body never ended kept its call open in the same way.

Any status but 200 fails the call at its first byte of body. The revision is stored once the list has been applied.

--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -75,7 +75,7 @@
   const std::string target = "/api/targets?watch=1&after=" + std::to_string(after);
   const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
   const std::string head = net::headText("GET " + target + " HTTP/1.1", {{"Host", host}});
-  candidate_ = std::make_shared<DiscoveryWatch>(*this, clock_, timers_);
+  candidate_ = std::make_shared<DiscoveryWatch>(*this, clock_, timers_, /*needsList=*/after == 0);
   candidate_->start(watchPool_.call(address_, head, nullptr, candidate_));
 }
 
@@ -138,18 +138,18 @@
   apply(list, EndpointListForm::kCached);
 }
 
-bool Discovery::onDocument(std::string_view text) {
-  const bool isSignOfLife = text.find_first_not_of(" \r\t\n") == std::string_view::npos;
+DocumentKind Discovery::onDocument(std::string_view text) {
+  const bool isBlank = text.find_first_not_of(" \r\t\n") == std::string_view::npos;
   try {
-    if (!isSignOfLife)
+    if (!isBlank)
       apply(json::parse(text), std::nullopt);
     ages_.onContact();
-    return true;
+    return isBlank ? DocumentKind::kKeepAlive : DocumentKind::kList;
   } catch (const json::exception&) {
   } catch (const std::invalid_argument&) {
   }
   ++counters_["discovery.malformed"];
-  return false;
+  return DocumentKind::kMalformed;
 }
 
 // Parses the whole list before changing any state, so that a malformed list has no effect.
@@ -158,9 +158,10 @@
   setStartTimes(parsed.update, parsed.endpoints);
   directory_.update(parsed.endpoints, parsed.update.form != EndpointListForm::kChanges,
                     instancePool_);
-  revision_ = parsed.update.version;
-  ++counters_["discovery.lists"];
+  const std::uint64_t revision = parsed.update.version;
   lists_.list(std::move(parsed.update));
+  revision_ = revision;
+  ++counters_["discovery.lists"];
 }
 
 // An instance that is removed and listed again counts as new, whatever start time the list gives.
--- a/src/frontend/platform/discovery.h
+++ b/src/frontend/platform/discovery.h
@@ -49,11 +49,10 @@
   void accountTo(admission::DescriptorBudget& descriptorBudget) {
     watchPool_.accountTo(descriptorBudget, admission::Account::kDiscovery);
   }
-  /// Whether there is an open watch that has sent a document.
+  /// Whether there is an open watch that has sent what its call asks for.
   bool hasWatch() const { return watch_ != nullptr; }
-  /// Applies one document of a watch; returns false if it is not a valid list. Blank text is
-  /// accepted as a keep-alive.
-  bool onDocument(std::string_view text) override;
+  /// Applies one document of a watch. Blank text is a keep-alive.
+  DocumentKind onDocument(std::string_view text) override;
 
  private:
   void onAlive(const DiscoveryWatch& watch) override;
@@ -78,8 +77,8 @@
   net::ConnectionPool watchPool_;
   net::Endpoint address_;
   net::Endpoint revisionAddress_;              // the address that sent revision_
-  std::shared_ptr<DiscoveryWatch> watch_;      // has sent a document
-  std::shared_ptr<DiscoveryWatch> candidate_;  // has not sent a document yet
+  std::shared_ptr<DiscoveryWatch> watch_;      // has sent what its call asks for
+  std::shared_ptr<DiscoveryWatch> candidate_;  // has not done so yet
   core::Timer openTimer_;
   bool watchSilent_ = false;  // the watch is silent, and another is tried in parallel
   fleet::DiscoveryBackoff backoff_;
--- a/src/frontend/platform/discovery_watch.cpp
+++ b/src/frontend/platform/discovery_watch.cpp
@@ -28,24 +28,40 @@
 }
 
 bool DiscoveryWatch::body(std::string_view bytes) {
-  armSilenceTimer(fleet::DiscoveryBackoff::kWatchTimeoutMs);
-  if (!accepted_)
+  if (!accepted_) {
+    fail();
     return true;
+  }
+  if (!limited_)
+    armSilenceTimer(fleet::DiscoveryBackoff::kWatchTimeoutMs);
   text_ += bytes;
   while (const std::size_t end = splitter_.nextEnd(text_)) {
     const std::string document = text_.substr(0, end);
     text_.erase(0, end);
-    if (!owner_.onDocument(document)) {
+    if (!accept(document)) {
       fail();
       return true;
     }
-    owner_.onAlive(*this);
   }
   if (text_.size() > kMaxDocumentBytes)
     fail();
   return true;
 }
 
+// Keep-alives do not extend the time that a watch has for its first list: nothing else would end a
+// watch that never sends one.
+bool DiscoveryWatch::accept(std::string_view document) {
+  const DocumentKind kind = owner_.onDocument(document);
+  if (kind == DocumentKind::kMalformed)
+    return false;
+  if (kind == DocumentKind::kList && std::exchange(needsList_, false))
+    armSilenceTimer(fleet::DiscoveryBackoff::kWatchTimeoutMs);
+  limited_ = needsList_;
+  if (!needsList_)
+    owner_.onAlive(*this);
+  return true;
+}
+
 void DiscoveryWatch::armSilenceTimer(double ms) {
   silenceTimer_ = timers_.schedule(clock_.nowMs() + ms, [this] { timedOut(); });
 }
--- a/src/frontend/platform/discovery_watch.h
+++ b/src/frontend/platform/discovery_watch.h
@@ -14,13 +14,20 @@
 
 class DiscoveryWatch;
 
+/// What a document of a watch is.
+enum class DocumentKind {
+  kList,
+  kKeepAlive,  ///< blank text
+  kMalformed,
+};
+
 /// Receives the events of watches. May drop the watch in any of these calls except onDocument().
 class DiscoveryWatchOwner {
  public:
   virtual ~DiscoveryWatchOwner() = default;
-  /// A document was received. Returns false if it is not a valid list, which ends the watch.
-  virtual bool onDocument(std::string_view text) = 0;
-  /// The document was accepted.
+  /// A document was received. A malformed one ends the watch.
+  virtual DocumentKind onDocument(std::string_view text) = 0;
+  /// The document was accepted, and the watch has sent a list if it has to.
   virtual void onAlive(const DiscoveryWatch& watch) = 0;
   /// Nothing was received within the timeout. Returns whether the watch stays open nevertheless.
   virtual bool onSilent(const DiscoveryWatch& watch) = 0;
@@ -32,8 +39,12 @@
 /// sink own each other while the call runs, so the owner must close each watch that it drops.
 class DiscoveryWatch final : public net::CallSink {
  public:
-  DiscoveryWatch(DiscoveryWatchOwner& owner, const core::Clock& clock, core::TimerQueue& timers)
-      : owner_(owner), clock_(clock), timers_(timers) {}
+  /// needsList: keep-alives do not count before the first list, as the call asks for a whole list.
+  DiscoveryWatch(DiscoveryWatchOwner& owner,
+                 const core::Clock& clock,
+                 core::TimerQueue& timers,
+                 bool needsList)
+      : owner_(owner), clock_(clock), timers_(timers), needsList_(needsList) {}
 
   /// Takes the call whose sink this is, and starts the timeout for its first byte.
   void start(std::shared_ptr<net::Call> call);
@@ -46,6 +57,7 @@
   void failed(net::CallFailure) override { end(); }
 
  private:
+  bool accept(std::string_view document);
   void armSilenceTimer(double ms);
   void timedOut();
   void fail();
@@ -58,7 +70,9 @@
   core::Timer silenceTimer_;
   std::string text_;
   JsonDocumentSplitter splitter_;
-  bool accepted_ = false;
+  bool accepted_ = false;  // the response has the status 200
+  bool needsList_;         // no list has been received that the call asks for
+  bool limited_ = false;   // the silence timer runs on until that list
 };
 
 }  // namespace inference_router::frontend
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -66,6 +66,82 @@
   EXPECT_EQ(fixture.counters["discovery.watches"], 4U);  // the end of the old watch opens no other
 }
 
+// The agent of a test: answers the watch of a fixture.
+struct Agent : RawPeer {
+  explicit Agent(DiscoveryFixture& discovery) : RawPeer(discovery.io), fixture(discovery) {}
+  // Accepts the next call, and returns its request.
+  std::string acceptCall() {
+    accept();
+    EXPECT_TRUE(fixture.until([&] { return hasBytes(); }));
+    return readSome();
+  }
+  void beginWatch(const std::string& firstDocument) {
+    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+          net::encodeChunk(firstDocument));
+  }
+  DiscoveryFixture& fixture;
+};
+
+// Guards against an empty line that is taken for the list of an address that has not sent one.
+TEST(DiscoveryWatch, EmptyLineFromANewAddressDoesNotReplaceTheOldWatch) {
+  DiscoveryFixture fixture;
+  Agent before(fixture), after(fixture);
+  fixture.discovery.watch(before.address());
+  before.acceptCall();
+  before.beginWatch(listOf(41, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 1; }));
+  fixture.discovery.watch(after.address());
+  after.acceptCall();
+  after.beginWatch("\n");
+  before.write(net::encodeChunk(listOf(42, false, "leaving")));
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 2; }));
+  EXPECT_FALSE(before.ended());
+  after.reset();
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+  fixture.pass(151);
+  EXPECT_NE(after.acceptCall().find("after=0 "), std::string::npos);
+  after.beginWatch(listOf(7, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return before.ended(); }));
+  EXPECT_EQ(fixture.directory.find({"a"})->state, routing::EndpointState::kActive);
+}
+
+TEST(DiscoveryWatch, WatchThatSendsKeepAlivesAndNoListIsReplaced) {
+  DiscoveryFixture fixture;
+  Agent agent(fixture);
+  fixture.discovery.watch(agent.address());
+  agent.acceptCall();
+  agent.beginWatch("\n");
+  double passedMs = 0;
+  for (; fixture.counters["discovery.watches"] < 2; passedMs += 100) {
+    ASSERT_LT(passedMs, fleet::DiscoveryBackoff::kDeliveryLimitMs);
+    if (fixture.counters["discovery.broken"] == 0)
+      agent.write(net::encodeChunk("\n"));
+    for (int i = 0; i < 5; ++i) {
+      fixture.io.restart();
+      fixture.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    fixture.pass(100);
+  }
+  EXPECT_FALSE(fixture.discovery.hasWatch());
+  EXPECT_TRUE(agent.ended());
+  EXPECT_NE(agent.acceptCall().find("after=0 "), std::string::npos);
+}
+
+// An error response that never ends must not keep the router from calling again.
+TEST(DiscoveryWatch, ErrorResponseWithAnEndlessBodyIsAFailedCall) {
+  DiscoveryFixture fixture;
+  Agent agent(fixture);
+  fixture.discovery.watch(agent.address());
+  agent.acceptCall();
+  agent.write("HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              net::encodeChunk("\n"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+  fixture.pass(151);
+  agent.acceptCall();
+  agent.beginWatch(listOf(41, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
+}
+
 // If discovery is down for all clients, a watch that is closed and reopened loses its position in
 // discovery's queue and is served last.
 TEST(DiscoveryWatch, KeepsASilentWatchWhileTryingAnotherInParallel) {
@@ -286,10 +362,11 @@
         .dump();
   };
   for (int i = 0; i < 3000; ++i) {
-    ASSERT_TRUE(fixture.discovery.onDocument(list(i, "active")));
+    ASSERT_EQ(fixture.discovery.onDocument(list(i, "active")), frontend::DocumentKind::kList);
     if (i >= 5) {
-      ASSERT_TRUE(fixture.discovery.onDocument(list(i - 5, i % 2 == 0 ? "leaving" : "left")));
-      ASSERT_TRUE(fixture.discovery.onDocument(list(i - 5, "left")));
+      ASSERT_EQ(fixture.discovery.onDocument(list(i - 5, i % 2 == 0 ? "leaving" : "left")),
+                frontend::DocumentKind::kList);
+      ASSERT_EQ(fixture.discovery.onDocument(list(i - 5, "left")), frontend::DocumentKind::kList);
     }
     fixture.pass(500);
     ASSERT_LE(fixture.directory.all().size(), 6U);
@@ -310,13 +387,13 @@
       if (i % 2 == 0)
         changes.push_back(memberOf(i, "active", 10'000 + i, 5));  // restarted at another address
     }
-    ASSERT_TRUE(fixture.discovery.onDocument(lineOf(1, true, all)));
+    ASSERT_EQ(fixture.discovery.onDocument(lineOf(1, true, all)), frontend::DocumentKind::kList);
     EXPECT_EQ(fixture.directory.all().size(), static_cast<std::size_t>(instances));
     const std::string line = lineOf(2, false, changes);
-    EXPECT_FALSE(fixture.discovery.onDocument(
-        line.substr(0, line.size() / 2)));  // truncated: nothing changes
+    EXPECT_EQ(fixture.discovery.onDocument(line.substr(0, line.size() / 2)),
+              frontend::DocumentKind::kMalformed);  // truncated: nothing changes
     EXPECT_EQ(fixture.directory.all().size(), static_cast<std::size_t>(instances));
-    ASSERT_TRUE(fixture.discovery.onDocument(line));
+    ASSERT_EQ(fixture.discovery.onDocument(line), frontend::DocumentKind::kList);
     EXPECT_EQ(fixture.directory.all().size(), static_cast<std::size_t>(instances / 2));
     EXPECT_EQ(fixture.directory.find({"b0"})->address.port(), 10'000);
     EXPECT_EQ(fixture.directory.find({"b1"}), nullptr);
@@ -324,9 +401,11 @@
          unknownZone = memberOf(instances + 1, "active", 9, 0);
     unknownKind["flavor"] = "unheard-of";
     unknownZone["locality"] = "nowhere";
-    ASSERT_TRUE(fixture.discovery.onDocument(lineOf(3, false, {unknownKind, unknownZone})));
+    ASSERT_EQ(fixture.discovery.onDocument(lineOf(3, false, {unknownKind, unknownZone})),
+              frontend::DocumentKind::kList);
     EXPECT_EQ(fixture.directory.find({"b" + std::to_string(instances + 1)}), nullptr);
-    ASSERT_TRUE(fixture.discovery.onDocument(lineOf(4, true, json::array())));
+    ASSERT_EQ(fixture.discovery.onDocument(lineOf(4, true, json::array())),
+              frontend::DocumentKind::kList);
     EXPECT_EQ(fixture.directory.all().size(), 0U);
     EXPECT_EQ(fixture.counters["discovery.malformed"], 1U);
   }
@@ -384,10 +463,10 @@
 
 TEST(DiscoveryWatch, MalformedListChangesNothing) {
   DiscoveryFixture fixture;
-  ASSERT_TRUE(fixture.discovery.onDocument(listOf(5, true, "active")));
+  ASSERT_EQ(fixture.discovery.onDocument(listOf(5, true, "active")), frontend::DocumentKind::kList);
   for (const char* bad : {"{", "[]", "{\"revision\":6,\"complete\":true,\"members\":[{\"id\":7}]}"})
-    EXPECT_FALSE(fixture.discovery.onDocument(bad)) << bad;
-  EXPECT_TRUE(fixture.discovery.onDocument("  \r"));
+    EXPECT_EQ(fixture.discovery.onDocument(bad), frontend::DocumentKind::kMalformed) << bad;
+  EXPECT_EQ(fixture.discovery.onDocument("  \r"), frontend::DocumentKind::kKeepAlive);
   EXPECT_EQ(fixture.directory.all().size(), 1U);
   EXPECT_EQ(fixture.directory.find({"a"})->state, routing::EndpointState::kActive);
 }
@@ -401,15 +480,18 @@
       started = update->entries.back().started;
   });
   constexpr double kListedStartMs = 1e12;
-  ASSERT_TRUE(fixture.discovery.onDocument(
-      lineOf(1, true, json::array({memberOf(1, "active", 9, kListedStartMs)}))));
+  ASSERT_EQ(fixture.discovery.onDocument(
+                lineOf(1, true, json::array({memberOf(1, "active", 9, kListedStartMs)}))),
+            frontend::DocumentKind::kList);
   const double firstMs = fixture.clock.nowMs();
   fixture.clock.advance(1'000);
   const json bad =
       json::array({memberOf(1, "active", 9, kListedStartMs + 3'600'000), json{{"id", 7}}});
-  ASSERT_FALSE(fixture.discovery.onDocument(lineOf(2, false, bad)));
-  ASSERT_TRUE(fixture.discovery.onDocument(
-      lineOf(3, false, json::array({memberOf(1, "active", 9, kListedStartMs + 500)}))));
+  ASSERT_EQ(fixture.discovery.onDocument(lineOf(2, false, bad)),
+            frontend::DocumentKind::kMalformed);
+  ASSERT_EQ(fixture.discovery.onDocument(
+                lineOf(3, false, json::array({memberOf(1, "active", 9, kListedStartMs + 500)}))),
+            frontend::DocumentKind::kList);
   EXPECT_EQ(started, core::toModuleTime(firstMs + 500));
 }
 
@@ -440,13 +522,15 @@
                 {"cell", cell},     {"phase", phase},
                 {"size", 1.5},      {"up_since_ms", 0}};
   };
-  ASSERT_TRUE(discovery.onDocument(json{
-      {"revision", 1},
-      {"complete", true},
-      {"members",
-       {member("a", "near", "reader", 3, "active"), member("b", "farthest", "large", 7, "leaving"),
-        member("c", "far", "mixed", 7, "resting"), member("d", "elsewhere", "mixed", 7, "active")}}}
-                                       .dump()));
+  ASSERT_EQ(discovery.onDocument(json{{"revision", 1},
+                                      {"complete", true},
+                                      {"members",
+                                       {member("a", "near", "reader", 3, "active"),
+                                        member("b", "farthest", "large", 7, "leaving"),
+                                        member("c", "far", "mixed", 7, "resting"),
+                                        member("d", "elsewhere", "mixed", 7, "active")}}}
+                                     .dump()),
+            frontend::DocumentKind::kList);
   ASSERT_EQ(sink.lastUpdate.entries.size(), 3U);
   const auto& [a, b, c] =
       std::tie(sink.lastUpdate.entries[0], sink.lastUpdate.entries[1], sink.lastUpdate.entries[2]);
@@ -456,9 +540,11 @@
   EXPECT_EQ(std::tuple(a.state, b.state, c.state),
             std::tuple(routing::EndpointState::kActive, routing::EndpointState::kDraining,
                        routing::EndpointState::kRemoved));
-  ASSERT_TRUE(discovery.onDocument(json{
-      {"revision", 2}, {"complete", false}, {"members", {member("a", "near", "reader", 3, "left")}}}
-                                       .dump()));
+  ASSERT_EQ(discovery.onDocument(json{{"revision", 2},
+                                      {"complete", false},
+                                      {"members", {member("a", "near", "reader", 3, "left")}}}
+                                     .dump()),
+            frontend::DocumentKind::kList);
   EXPECT_EQ(sink.lastUpdate.form, routing::EndpointListForm::kChanges);
   EXPECT_EQ(sink.lastUpdate.entries.at(0).state, routing::EndpointState::kRemoved);
 }
