Tell when the endpoint list is unconfirmed, and look for discovery's new address meanwhile

Callers saw nothing at all: a router without a watch went on with an old list, and no figure or log line told of it.

Cause: what a signal tells once has no second occasion. A signal that is missed, or a $GW_DISCOVERY that is older than the file, left the router with an address that discovery had left.

Change: the list is unconfirmed (not_listed, moved, watch_ended, watch_silent) or confirmed; changes of that are logged with since when, why and which call comes next, again every 5 s, and shown by the admin call `config`. discovery.list_lost, .list_confirmed, .unconfirmed_ms and .unconfirmed.REASON count. Before each call that replaces a lost one the file is looked at, and taken over if its text has changed. If the environment names another address than the file, both take turns until one sends its list.

--- a/src/app/admin_service.cpp
+++ b/src/app/admin_service.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "app/discovery_monitor.h"
 #include "app/reload_retry.h"
 
 namespace inference_router::app {
@@ -71,7 +72,10 @@
 
 std::string AdminService::configurationReport() {
   const double nowMs = context_.server.clock.nowMs();
-  return describe(context_.server.reloads.pending(), nowMs) + "\n";
+  std::string report = describe(context_.server.reloads.pending(), nowMs) + "\n";
+  if (context_.discovery != nullptr)
+    report += describe(context_.discovery->status(), nowMs) + "\n";
+  return report;
 }
 
 std::string AdminService::admissionReport() {
--- a/src/app/admin_service.h
+++ b/src/app/admin_service.h
@@ -25,6 +25,7 @@
     HotRestart& hotRestart;
     ExclusionStore& exclusions;
     LifecycleTracker& lifecycles;
+    const frontend::Discovery* discovery = nullptr;  ///< null: instances are in the file
     AdmissionWatch* admission = nullptr;             ///< null: there are no admission rules
     Coordinator* coordinator = nullptr;              ///< null: this router shares nothing
     SharedStateService* sharedState = nullptr;       ///< null: it shares nothing but leases
--- a/src/app/reload_retry.cpp
+++ b/src/app/reload_retry.cpp
@@ -50,7 +50,7 @@
 void ReloadRetry::succeeded() {
   ++counters_["reloads.done"];
   if (pending_)
-    spdlog::info("SIGHUP: the configuration is in use after {} failed attempts and {:.0f} ms",
+    spdlog::info("the configuration is in use after {} failed attempts and {:.0f} ms",
                  pending_->attempts, clock_.nowMs() - pending_->sinceMs);
   pending_.reset();
   watchFile();
@@ -69,7 +69,7 @@
   if (isNew || nowMs >= loggedMs_ + kLogIntervalMs) {
     loggedMs_ = nowMs;
     spdlog::error(
-        "SIGHUP: the configuration cannot be used, the old one stays: {} (attempt {}, {:.0f} ms "
+        "the configuration cannot be used, the old one stays: {} (attempt {}, {:.0f} ms "
         "after the first; the next in {:.0f} ms)",
         reason, pending_->attempts, nowMs - pending_->sinceMs, delayMs);
   }
--- a/src/app/serve_platform.cpp
+++ b/src/app/serve_platform.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "app/admin_service.h"
+#include "app/discovery_monitor.h"
 
 namespace inference_router::app {
 
@@ -42,15 +43,23 @@
   return server;
 }
 
-std::unique_ptr<frontend::Discovery> startDiscovery(Server& server, const Config& config) {
+// While discovery is lost, the file is looked at again before each call: the signal that told of
+// another address may have been missed. $GW_DISCOVERY may be older than the file.
+std::unique_ptr<frontend::Discovery> startDiscovery(Server& server,
+                                                    const Config& config,
+                                                    DiscoveryMonitor& monitor) {
   auto discovery = std::make_unique<frontend::Discovery>(
       server.io, server.clock, server.timers, server.counters, server, server.directory,
       server.pool, config.setup.names,
       fleet::DiscoveryBackoff(config.setup.settings.nodes, config.seed));
   discovery->accountTo(server.descriptorBudget);
+  discovery->onStatus(
+      [&monitor](const frontend::DiscoveryStatus& status) { monitor.observe(status); });
+  discovery->onRetry([&server] { server.reloads.refresh(); });
   if (!config.known.is_null())
     discovery->loadCached(config.known);
   discovery->watch(config.discovery);
+  discovery->setFallback(config.discoveryInFile);
   return discovery;
 }
 
@@ -71,6 +80,7 @@
   const Limits limits_;
   const std::unique_ptr<Server> server_;
   frontend::PlatformFront front_;
+  DiscoveryMonitor discoveryMonitor_;
   const std::unique_ptr<frontend::Discovery> discovery_;
   const std::unique_ptr<OtlpExporter> exporter_;
   net::Listener listener_;
@@ -88,7 +98,8 @@
       limits_{availableDescriptors(config_.limits.sockets)},
       server_(makeServer(io_, clock_, config_, limits_, telemetry)),
       front_(server_->dispatcher, config_.setup.names, clock_, server_->counters),
-      discovery_(startDiscovery(*server_, config_)),
+      discoveryMonitor_(clock_, server_->counters),
+      discovery_(startDiscovery(*server_, config_, discoveryMonitor_)),
       exporter_(makeExporter(*server_, telemetry)),
       listener_(io_,
                 config_.listen,
@@ -117,7 +128,8 @@
                      .setup = config_.setup,
                      .hotRestart = hotRestart_,
                      .exclusions = exclusions_,
-                     .lifecycles = lifecycles_}),
+                     .lifecycles = lifecycles_,
+                     .discovery = discovery_.get()}),
       adminEndpoint_(makeAdminEndpoint(config_.admin, adminService_, *server_)) {
   front_.setReadinessCheck([this] { return !listener_.evacuated(); });
 }
@@ -141,7 +153,7 @@
   if (!reread.discoveryInFile || reread.discoveryInFile == discoveryInFile_)
     return;
   discoveryInFile_ = reread.discoveryInFile;
-  spdlog::info("SIGHUP: discovery is at {}:{} now", discoveryInFile_->address().to_string(),
+  spdlog::info("discovery is at {}:{} now", discoveryInFile_->address().to_string(),
                discoveryInFile_->port());
   discovery_->watch(*discoveryInFile_);
 }
--- a/src/app/serve_platform.h
+++ b/src/app/serve_platform.h
@@ -11,8 +11,8 @@
 /// How a planned restart goes on the platform, by the settings.
 ShutdownOptions platformShutdown(const routing::Settings& settings);
 
-/// Serves until the process is asked to end. SIGHUP takes over the file's `discovery`. Throws what
-/// prevents the start.
+/// Serves until the process is asked to end. SIGHUP takes over the file's `discovery`, and so does
+/// each retry while discovery is lost. Throws what prevents the start.
 void servePlatform(ConfigurationFile<Config> file, const Telemetry& telemetry);
 
 }  // namespace inference_router::app
--- a/src/control/admin_api.h
+++ b/src/control/admin_api.h
@@ -50,7 +50,7 @@
   virtual InstanceCounts instanceCounts() = 0;
 
   virtual std::string instancesReport() = 0;
-  /// Whether the configuration file in use is the latest.
+  /// Whether the configuration file and the endpoint list in use are the latest.
   virtual std::string configurationReport() { return ""; }
   virtual std::string admissionReport() { return ""; }
   virtual std::string leasesReport(ReportFormat /*format*/) { return ""; }
--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -41,6 +41,7 @@
                  timers,
                  counters,
                  {kMaxWatchConnections, fleet::DiscoveryBackoff::kConnectTimeoutMs, kMaxIdleMs}),
+      confirmation_(clock.nowMs()),
       backoff_(backoff),
       ages_(clock) {}
 
@@ -59,14 +60,22 @@
 void Discovery::watch(const net::Endpoint& address) {
   if (address == address_)
     return;
-  if (address_ == net::Endpoint())
+  const bool isFirst = address_ == net::Endpoint();
+  if (isFirst)
     revisionAddress_ = address;  // the cached list is from this address
   address_ = address;
+  fallback_.reset();
   watchSilent_ = false;
   dropCandidate();
+  if (!isFirst)
+    doubt(fleet::ListDoubt::kMoved);
   open();
 }
 
+void Discovery::setFallback(const std::optional<net::Endpoint>& address) {
+  fallback_ = address;
+}
+
 // Revision numbers of different addresses cannot be compared, so the full list is requested from an
 // address that did not send the current revision.
 void Discovery::open() {
@@ -77,10 +86,27 @@
   const std::string head = net::headText("GET " + target + " HTTP/1.1", {{"Host", host}});
   candidate_ = std::make_shared<DiscoveryWatch>(*this, clock_, timers_, /*needsList=*/after == 0);
   candidate_->start(watchPool_.call(address_, head, nullptr, candidate_));
+  if (!confirmation_.confirmed())
+    reportStatus();
 }
 
 void Discovery::scheduleOpen() {
-  openTimer_ = timers_.schedule(clock_.nowMs() + backoff_.nextDelayMs(), [this] { open(); });
+  openAtMs_ = clock_.nowMs() + backoff_.nextDelayMs();
+  openTimer_ = timers_.schedule(openAtMs_, [this] { retry(); });
+}
+
+void Discovery::retry() {
+  if (onRetry_)
+    onRetry_();
+  if (candidate_ || openTimer_.armed())
+    return;  // the callback has changed the address
+  open();
+}
+
+// The addresses take turns only while no watch is open: the fallback may hold an older state.
+void Discovery::useFallback() {
+  if (!watch_ && fallback_)
+    std::swap(*fallback_, address_);
 }
 
 void Discovery::dropCandidate() {
@@ -91,8 +117,11 @@
 }
 
 void Discovery::onAlive(const DiscoveryWatch& watch) {
-  if (&watch == watch_.get() && std::exchange(watchSilent_, false))
+  if (&watch == watch_.get() && std::exchange(watchSilent_, false)) {
     dropCandidate();
+    confirmation_.confirm(clock_.nowMs());
+    reportStatus();
+  }
   if (&watch != candidate_.get())
     return;
   watchSilent_ = false;
@@ -101,6 +130,8 @@
   revisionAddress_ = address_;
   if (replaced)
     replaced->close();
+  confirmation_.confirm(clock_.nowMs());
+  reportStatus();
 }
 
 // Reopens the watch unless a replacement is open or scheduled already, so the end of a watch on a
@@ -112,11 +143,14 @@
     watch_ = nullptr;
     watchSilent_ = false;
   }
-  if (&watch == candidate_.get())
+  if (&watch == candidate_.get()) {
     candidate_ = nullptr;
-  if (isReplaced || openTimer_.armed())
-    return;
-  scheduleOpen();
+    useFallback();
+  }
+  if (!isReplaced && !openTimer_.armed())
+    scheduleOpen();
+  if (!watch_)
+    doubt(fleet::ListDoubt::kWatchEnded);
 }
 
 // Keeps the silent watch open and tries another in parallel. If discovery is down for all clients,
@@ -129,9 +163,35 @@
     return true;
   watchSilent_ = true;
   scheduleOpen();
+  doubt(fleet::ListDoubt::kWatchSilent);
   return true;
 }
 
+// ---- Status
+
+void Discovery::onStatus(std::function<void(const DiscoveryStatus&)> callback) {
+  onStatus_ = std::move(callback);
+}
+
+DiscoveryStatus Discovery::status() const {
+  return {confirmation_, address_, openTimer_.armed() ? std::optional(openAtMs_) : std::nullopt};
+}
+
+// Until a list has come, the end of a call is no other reason than the lack of a list.
+void Discovery::doubt(fleet::ListDoubt reason) {
+  const auto present = confirmation_.reason();
+  const bool awaitsList =
+      present == fleet::ListDoubt::kNotListed || present == fleet::ListDoubt::kMoved;
+  if (!awaitsList || reason == fleet::ListDoubt::kMoved)
+    confirmation_.doubt(reason, clock_.nowMs());
+  reportStatus();
+}
+
+void Discovery::reportStatus() const {
+  if (onStatus_)
+    onStatus_(status());
+}
+
 // ---- Endpoint lists
 
 void Discovery::loadCached(const json& list) {
--- a/src/frontend/platform/discovery.h
+++ b/src/frontend/platform/discovery.h
@@ -2,11 +2,13 @@
 /// the watch is reopened with backoff.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "core/clock.h"
 #include "core/counters.h"
@@ -14,6 +16,7 @@
 #include "core/timer_queue.h"
 #include "fleet/discovery_backoff.h"
 #include "fleet/instance_ages.h"
+#include "fleet/list_confirmation.h"
 #include "frontend/platform/discovery_watch.h"
 #include "net/pool.h"
 #include "settings_parser.h"
@@ -21,6 +24,13 @@
 
 namespace inference_router::frontend {
 
+/// How current the endpoint list is. Times are of the monotonic clock, in milliseconds.
+struct DiscoveryStatus {
+  fleet::ListConfirmation list;
+  net::Endpoint address;             ///< that is watched, or called next
+  std::optional<double> nextCallMs;  ///< nothing if no call is scheduled
+};
+
 /// Receives endpoint lists from discovery. Used on one thread only; everything passed to the
 /// constructor by reference must outlive it.
 class Discovery final : public DiscoveryWatchOwner {
@@ -49,6 +59,14 @@
   void accountTo(admission::DescriptorBudget& descriptorBudget) {
     watchPool_.accountTo(descriptorBudget, admission::Account::kDiscovery);
   }
+  /// Another address to call in turn with the watched one while neither has an open watch. The next
+  /// call of watch() drops it.
+  void setFallback(const std::optional<net::Endpoint>& address);
+  /// Called before each call that replaces a lost watch or a failed call; may call watch().
+  void onRetry(std::function<void()> callback) { onRetry_ = std::move(callback); }
+  /// Called when the status changes, and at each call while the list is not confirmed.
+  void onStatus(std::function<void(const DiscoveryStatus&)> callback);
+  DiscoveryStatus status() const;
   /// Whether there is an open watch that has sent what its call asks for.
   bool hasWatch() const { return watch_ != nullptr; }
   /// Applies one document of a watch. Blank text is a keep-alive.
@@ -60,7 +78,11 @@
   void onEnded(const DiscoveryWatch& watch) override;
 
   void open();
+  void retry();
+  void useFallback();
   void scheduleOpen();
+  void doubt(fleet::ListDoubt reason);
+  void reportStatus() const;
   void dropCandidate();
   void apply(const nlohmann::json& list, std::optional<routing::EndpointListForm> form);
   // Sets the start times of the instances in an update from those in the list.
@@ -76,10 +98,15 @@
   const routing::wire::Vocabulary& names_;
   net::ConnectionPool watchPool_;
   net::Endpoint address_;
+  std::optional<net::Endpoint> fallback_;
   net::Endpoint revisionAddress_;              // the address that sent revision_
   std::shared_ptr<DiscoveryWatch> watch_;      // has sent what its call asks for
   std::shared_ptr<DiscoveryWatch> candidate_;  // has not done so yet
   core::Timer openTimer_;
+  double openAtMs_ = 0;  // when openTimer_ is due
+  fleet::ListConfirmation confirmation_;
+  std::function<void()> onRetry_;
+  std::function<void(const DiscoveryStatus&)> onStatus_;
   bool watchSilent_ = false;  // the watch is silent, and another is tried in parallel
   fleet::DiscoveryBackoff backoff_;
   fleet::InstanceAges ages_;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -96,12 +96,14 @@
   before.write(net::encodeChunk(listOf(42, false, "leaving")));
   ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 2; }));
   EXPECT_FALSE(before.ended());
+  EXPECT_FALSE(fixture.discovery.status().list.confirmed());
   after.reset();
   ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
   fixture.pass(151);
   EXPECT_NE(after.acceptCall().find("after=0 "), std::string::npos);
   after.beginWatch(listOf(7, true, "active"));
   ASSERT_TRUE(fixture.until([&] { return before.ended(); }));
+  EXPECT_TRUE(fixture.discovery.status().list.confirmed());
   EXPECT_EQ(fixture.directory.find({"a"})->state, routing::EndpointState::kActive);
 }
 
@@ -142,6 +144,82 @@
   ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
 }
 
+// The environment of a process may name an address that discovery has left, and its file the new
+// one.
+TEST(DiscoveryWatch, AddressesTakeTurnsUntilOneSendsAList) {
+  DiscoveryFixture fixture;
+  Agent gone(fixture), present(fixture);
+  const net::Endpoint goneAddress = gone.address();
+  gone.stopListening();
+  fixture.discovery.loadCached(json::parse(listOf(41, true, "active")));
+  fixture.discovery.watch(goneAddress);
+  fixture.discovery.setFallback(present.address());
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+  fixture.pass(151);
+  EXPECT_NE(present.acceptCall().find("after=0 "), std::string::npos);
+  present.beginWatch(listOf(7, true, "leaving"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
+  EXPECT_EQ(fixture.directory.find({"a"})->state, routing::EndpointState::kDraining);
+  present.reset();
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 2; }));
+  fixture.pass(151);
+  EXPECT_NE(present.acceptCall().find("after=7 "), std::string::npos);  // not the fallback
+}
+
+// A configuration that moved discovery without a signal is found once the old address is lost.
+TEST(DiscoveryWatch, RetryMayChangeTheAddress) {
+  DiscoveryFixture fixture;
+  Agent before(fixture), after(fixture);
+  int retries = 0;
+  fixture.discovery.onRetry([&] {
+    ++retries;
+    fixture.discovery.watch(after.address());
+  });
+  fixture.discovery.watch(before.address());
+  before.acceptCall();
+  before.beginWatch(listOf(41, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
+  before.reset();
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+  fixture.pass(151);
+  EXPECT_EQ(retries, 1);
+  EXPECT_NE(after.acceptCall().find("after=0 "), std::string::npos);
+  after.beginWatch(listOf(7, true, "leaving"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
+  EXPECT_EQ(fixture.counters["discovery.watches"], 2U);
+}
+
+TEST(DiscoveryWatch, TellsSinceWhenAndWhyTheListIsUnconfirmed) {
+  using fleet::ListDoubt;
+  DiscoveryFixture fixture;
+  Agent before(fixture), after(fixture);
+  std::vector<std::optional<ListDoubt>> reasons;
+  fixture.discovery.onStatus([&](const frontend::DiscoveryStatus& status) {
+    if (reasons.empty() || reasons.back() != status.list.reason())
+      reasons.push_back(status.list.reason());
+  });
+  const double startedMs = fixture.clock.nowMs();
+  fixture.discovery.watch(before.address());
+  fixture.pass(100);
+  EXPECT_EQ(fixture.discovery.status().list.sinceMs(), startedMs);
+  before.acceptCall();
+  before.beginWatch(listOf(41, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
+  fixture.pass(2'601);
+  const double silentMs = fixture.clock.nowMs();
+  before.write(net::encodeChunk("\n"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.discovery.status().list.confirmed(); }));
+  before.reset();
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+  EXPECT_TRUE(fixture.discovery.status().nextCallMs);
+  EXPECT_EQ(fixture.discovery.status().list.sinceMs(), silentMs);
+  fixture.discovery.watch(after.address());
+  EXPECT_EQ(fixture.discovery.status().address, after.address());
+  EXPECT_EQ(reasons, (std::vector<std::optional<ListDoubt>>{
+                         ListDoubt::kNotListed, std::nullopt, ListDoubt::kWatchSilent, std::nullopt,
+                         ListDoubt::kWatchEnded, ListDoubt::kMoved}));
+}
+
 // If discovery is down for all clients, a watch that is closed and reopened loses its position in
 // discovery's queue and is served last.
 TEST(DiscoveryWatch, KeepsASilentWatchWhileTryingAnotherInParallel) {
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -169,5 +169,66 @@
   EXPECT_NE(report().find("in use as it was read last"), std::string::npos);
 }
 
+// A router on the platform whose discovery can move.
+struct MovingPlatform : Platform {
+  net::Endpoint door = freePort();
+  Discovery newDiscovery{io, clock, timers};
+
+  MovingPlatform() { newDiscovery.line = discovery.line; }
+  void moveInFile() {
+    json file;
+    std::ifstream(folder.path + "/config.json") >> file;
+    file["discovery"] = textOf(newDiscovery.listener.address());
+    std::ofstream(folder.path + "/config.json") << file;
+  }
+  std::string report() { return call(door, "config"); }
+  bool reports(const std::string& text) {
+    return until([&] { return report().find(text) != std::string::npos; });
+  }
+  static std::string confirmedBy(const Discovery& agent) {
+    return "confirmed by " + textOf(agent.listener.address());
+  }
+};
+
+// Guards against a router that keeps asking an address that discovery has left because the signal
+// was missed.
+TEST(Reload, FileIsReadAgainWithoutASignalOnceDiscoveryIsLost) {
+  MovingPlatform platform;
+  platform.start(platform.door);
+  ASSERT_TRUE(platform.ready(platform.door));
+  ASSERT_TRUE(platform.reports(MovingPlatform::confirmedBy(platform.discovery)));
+  platform.moveInFile();
+  platform.discovery.listener.drain(0, [] {});
+  for (const auto& watch : platform.discovery.watches)
+    watch->abortResponse();
+  EXPECT_TRUE(platform.reports(MovingPlatform::confirmedBy(platform.newDiscovery)))
+      << platform.report();
+}
+
+// Guards against a restarted router whose environment still names the address that discovery left
+// before.
+TEST(Reload, AddressInTheFileIsTriedIfTheOneInTheEnvironmentIsGone) {
+  MovingPlatform platform;
+  platform.environment = {"GW_DISCOVERY=" + textOf(freePort())};
+  platform.moveInFile();
+  platform.start(platform.door);
+  ASSERT_TRUE(platform.ready(platform.door));
+  EXPECT_TRUE(platform.reports(MovingPlatform::confirmedBy(platform.newDiscovery)))
+      << platform.report();
+}
+
+TEST(Reload, ReportTellsWhyTheListIsNotConfirmedAndWhatIsTriedNext) {
+  MovingPlatform platform;
+  platform.start(platform.door);
+  ASSERT_TRUE(platform.ready(platform.door));
+  ASSERT_TRUE(platform.reports(MovingPlatform::confirmedBy(platform.discovery)));
+  const std::string address = textOf(platform.discovery.listener.address());
+  platform.discovery.listener.drain(0, [] {});
+  for (const auto& watch : platform.discovery.watches)
+    watch->abortResponse();
+  ASSERT_TRUE(platform.reports("(watch_ended)")) << platform.report();
+  EXPECT_NE(platform.report().find(address), std::string::npos) << platform.report();
+}
+
 }  // namespace
 }  // namespace inference_router
