Answer the callers of etcd when a response cannot be read

Callers saw: a lease request, a commit or a read that never ended; the runner waits for its own time limit, a plan command for ever.

EtcdClient logged a JSON error of a callback and dropped it, so that the store's promise to call each callback exactly once was broken.

Change: the client calls such a callback once more with no response (etcd.malformed), and the store passes on the first answer only. A commit whose response cannot be read is unavailable, that is unknown, as a lost response is.

--- a/src/coordination/etcd_client.cpp
+++ b/src/coordination/etcd_client.cpp
@@ -88,6 +88,11 @@
     ++client_->counters_[counter];
     if (!value)
       client_->useNextEndpoint();
+    const auto failUnreadable =
+        client_->guard_.wrap([&counters = client_->counters_, callback = callback_] {
+          ++counters["etcd.malformed"];
+          callback(std::nullopt);
+        });
     const auto callback = std::exchange(callback_, nullptr);
     const auto call = std::exchange(call_, nullptr);
     detach();
@@ -96,8 +101,9 @@
     try {
       callback(std::move(value));
     } catch (const json::exception& error) {
-      spdlog::error("etcd sent a response of an unexpected form, which is ignored: {}",
+      spdlog::error("etcd sent a response of an unexpected form, which counts as none: {}",
                     error.what());
+      failUnreadable();
     }
   }
 
--- a/src/coordination/etcd_client.h
+++ b/src/coordination/etcd_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "admission/descriptor_budget.h"
+#include "coordination/callback_guard.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/timer_queue.h"
@@ -30,8 +31,9 @@
   static constexpr const char* kTransactionPath = "/v3/kv/txn";
   static constexpr const char* kRangePath = "/v3/kv/range";
 
-  /// Called once, with the response's JSON object, or with nothing if the call failed, timed out or
-  /// returned an error. Not called after the client was destroyed.
+  /// Called with the response's JSON object, or with nothing if the call failed, timed out or
+  /// returned an error. If it throws json::exception, as the response has an unexpected form, it is
+  /// called once more with nothing. Not called after the client was destroyed.
   using Callback = std::function<void(std::optional<nlohmann::json>)>;
 
   EtcdClient(boost::asio::io_context& io,
@@ -63,6 +65,7 @@
   net::ConnectionPool pool_;
   std::size_t endpointIndex_ = 0;
   std::set<Exchange*> exchanges_;
+  CallbackGuard guard_;
 };
 
 }  // namespace inference_router::coordination
--- a/src/coordination/etcd_store.cpp
+++ b/src/coordination/etcd_store.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "coordination/etcd_encoding.h"
+#include "coordination/first_call_only.h"
 
 namespace inference_router::coordination {
 
@@ -41,7 +42,7 @@
 }
 
 void EtcdStore::requestLease(const LeaseRequest& request, LeaseCallback callback) {
-  leases_.request(request, callback);
+  leases_.request(request, firstCallOnly(std::move(callback)));
 }
 
 void EtcdStore::commit(const Fence& fence, std::vector<Write> writes, CommitCallback callback) {
@@ -55,15 +56,16 @@
 #endif
   json transaction = writesTransaction(writes, std::move(*conditions));
   transaction["failure"] = leases_.fenceReads(fence);
-  client_.call(EtcdClient::kTransactionPath, transaction,
-               [callback, fence](const std::optional<json>& response) {
-                 if (!response)
-                   return callback({CommitStatus::kUnavailable, 0});
-                 if (succeeded(*response))
-                   return callback(committed(*response));
-                 const bool stale = EtcdLeases::staleByReads(*response, fence);
-                 callback({stale ? CommitStatus::kStaleFence : CommitStatus::kConflict, 0});
-               });
+  client_.call(
+      EtcdClient::kTransactionPath, transaction,
+      [callback = firstCallOnly(std::move(callback)), fence](const std::optional<json>& response) {
+        if (!response)
+          return callback({CommitStatus::kUnavailable, 0});
+        if (succeeded(*response))
+          return callback(committed(*response));
+        const bool stale = EtcdLeases::staleByReads(*response, fence);
+        callback({stale ? CommitStatus::kStaleFence : CommitStatus::kConflict, 0});
+      });
 }
 
 void EtcdStore::write(Write write, CommitCallback callback) {
@@ -71,14 +73,15 @@
     return callback({CommitStatus::kRefused, 0});
   json transaction = writesTransaction({write}, json::array());
   transaction["failure"] = json::array();
-  client_.call(EtcdClient::kTransactionPath, transaction,
-               [callback](const std::optional<json>& response) {
-                 if (!response)
-                   return callback({CommitStatus::kUnavailable, 0});
-                 if (succeeded(*response))
-                   return callback(committed(*response));
-                 callback({CommitStatus::kConflict, 0});
-               });
+  client_.call(
+      EtcdClient::kTransactionPath, transaction,
+      [callback = firstCallOnly(std::move(callback))](const std::optional<json>& response) {
+        if (!response)
+          return callback({CommitStatus::kUnavailable, 0});
+        if (succeeded(*response))
+          return callback(committed(*response));
+        callback({CommitStatus::kConflict, 0});
+      });
 }
 
 /// Returns a transaction that executes the writes if all documents have their expected revisions
@@ -100,19 +103,22 @@
   const json range{{"key", encodeBase64(firstKey)},
                    {"range_end", encodeBase64(endKey)},
                    {"limit", std::to_string(kMaxDocuments)}};
-  client_.call(EtcdClient::kRangePath, range, [this, callback](std::optional<json> found) {
-    if (!found)
-      return callback(unreadable());
-    ReadResponse response;
-    response.revision = revisionOf(*found);
-    addDocuments(response, *found);
-    // In an incomplete response a missing document would be mistaken for one that does not exist.
-    response.ok = !found->value("more", false);
-    if (!response.ok)
-      response.error = "there are more than " + std::to_string(kMaxDocuments) + " documents";
-    found.reset();  // frees the JSON's memory before the documents are used
-    callback(response);
-  });
+  client_.call(EtcdClient::kRangePath, range,
+               [this, callback = firstCallOnly(std::move(callback))](std::optional<json> found) {
+                 if (!found)
+                   return callback(unreadable());
+                 ReadResponse response;
+                 response.revision = revisionOf(*found);
+                 addDocuments(response, *found);
+                 // In an incomplete response a missing document would be mistaken for one that does
+                 // not exist.
+                 response.ok = !found->value("more", false);
+                 if (!response.ok)
+                   response.error =
+                       "there are more than " + std::to_string(kMaxDocuments) + " documents";
+                 found.reset();  // frees the JSON's memory before the documents are used
+                 callback(response);
+               });
 }
 
 void EtcdStore::read(std::vector<std::string> keys, ReadCallback callback) {
@@ -120,7 +126,8 @@
   for (const std::string& key : keys)
     ranges.push_back(rangeRequest(documentKey(key)));
   client_.call(EtcdClient::kTransactionPath, {{"success", ranges}},
-               [this, callback](const std::optional<json>& transaction) {
+               [this, callback = firstCallOnly(std::move(callback))](
+                   const std::optional<json>& transaction) {
                  if (!transaction)
                    return callback(unreadable());
                  ReadResponse response;
--- a/tests/coordination_store_test.cpp
+++ b/tests/coordination_store_test.cpp
@@ -298,6 +298,43 @@
   }
 };
 
+// Guards against a caller that waits forever for a response that cannot be read.
+TEST(EtcdStoreResponses, OfAnUnexpectedFormAnswerEachCallbackOnce) {
+  for (const char* text :
+       {R"({"responses":5,"succeeded":"x","kvs":[5]})",
+        R"({"responses":[{"response_range":{"kvs":[7]}}],"kvs":{"key":1},"succeeded":3})",
+        R"({"responses":[[]],"kvs":[{"key":5}],"succeeded":[]})"}) {
+    NetworkFixture stage;
+    StandInInstance server(stage.io, stage.clock, stage.timers);
+    server.script = [text](StandInInstance&, StandInInstance::ReceivedRequest& request) {
+      request.connection->answer(200, {{"Content-Type", "application/json"}}, text);
+    };
+    EtcdStore store(stage.io, stage.clock, stage.timers, stage.counters,
+                    {{server.address()}, "test/", 1000});
+    int leases = 0, reads = 0, writes = 0;
+    Lease lease(shortLeaseConfig(), {"c1", 1}, 1, stage.clock.nowMs());
+    store.requestLease(*lease.tick(stage.clock.nowMs()), [&](const LeaseResponse& response) {
+      ++leases;
+      EXPECT_EQ(response.result, LeaseResult::kUnavailable);
+    });
+    store.write({.key = "k", .value = "v"}, [&](CommitResponse response) {
+      ++writes;
+      EXPECT_EQ(response.status, CommitStatus::kUnavailable);
+    });
+    const auto onRead = [&](const ReadResponse& response) {
+      ++reads;
+      EXPECT_FALSE(response.ok);
+    };
+    store.readAll(onRead);
+    store.read({"k"}, onRead);
+    EXPECT_TRUE(stage.until([&] { return leases > 0 && writes > 0 && reads > 1; }))
+        << text << leases << writes << reads;
+    EXPECT_EQ(leases, 1);
+    EXPECT_EQ(writes, 1);
+    EXPECT_EQ(reads, 2);
+  }
+}
+
 TEST_F(EtcdStoreTest, ExpiredLeaseIsGrantedWithAHigherFence) {
   Lease first(shortLeaseConfig(), {"c1", 1}, 1, stage.clock.nowMs());
   EXPECT_EQ(requestLease(first).result, LeaseResult::kGranted);
