Count a drain from when the list may have missed it, not from when it is heard

Callers would see: a decode attempt at a server over 1 s after its drain counted as told.

Cause: "what the agent has counts as told, whether or not a watch is open", but the grace was counted from the moment at which the list came. A reserved place at a draining instance is used up to 0.5 s after that, an attempt that waits is sent up to 0.8 s after it; with a watch that was lost or silent before, both add up to more than the grace.

Change: a list that comes while the list in use is unconfirmed carries since when (EndpointListUpdate::outdatedSince: the end of the watch, its last line if it fell silent, the move). Drains in it count from then on, at most the grace back. Lists on a confirmed watch, and the simulator's, are as before.

--- a/include/inference_router/events.h
+++ b/include/inference_router/events.h
@@ -52,6 +52,9 @@
   std::uint64_t version;
   EndpointListForm form;
   std::vector<EndpointRecord> entries;
+  /// Since when the list before this update may have been out of date. The drains that the update
+  /// reports may have begun then. Nothing: that list was current.
+  std::optional<Time> outdatedSince = std::nullopt;
 };
 
 /// Event: a request has arrived.
--- a/src/app/discovery_monitor.cpp
+++ b/src/app/discovery_monitor.cpp
@@ -32,7 +32,7 @@
   if (!changed && !isDue)
     return;
   if (!reason_)
-    unconfirmedSinceMs_ = nowMs;
+    unconfirmedSinceMs_ = status.list.sinceMs();
   reason_ = status.list.reason();
   loggedMs_ = nowMs;
   if (reason_)
--- a/src/core/endpoint_registry.cpp
+++ b/src/core/endpoint_registry.cpp
@@ -1,5 +1,6 @@
 #include "core/endpoint_registry.h"
 
+#include <algorithm>
 #include <set>
 
 #include "core/clock.h"
@@ -18,10 +19,12 @@
 void EndpointRegistry::apply(const EndpointListUpdate& update, double nowMs) {
   if (update.form == EndpointListForm::kFailed)
     return;
+  const double outdatedSinceMs = update.outdatedSince ? toMs(*update.outdatedSince) : nowMs;
+  const double drainsSinceMs = std::clamp(outdatedSinceMs, nowMs - drainGraceMs_, nowMs);
   if (update.form != EndpointListForm::kChanges)
-    markUnlistedRemoved(update.entries, nowMs);
+    markUnlistedRemoved(update.entries, drainsSinceMs);
   for (const EndpointRecord& record : update.entries)
-    applyRecord(record, nowMs);
+    applyRecord(record, drainsSinceMs);
   forgetRemoved(nowMs);
 }
 
@@ -30,29 +33,30 @@
   return found == endpoints_.end() ? nullptr : &found->second.facts;
 }
 
-// The drain grace period starts when the list first reports the instance as draining or removed.
-void EndpointRegistry::markDraining(Endpoint& endpoint, bool removed, double nowMs) {
+// The drain grace period starts when the list first reports the instance as draining or removed, or
+// from when on it may have missed that.
+void EndpointRegistry::markDraining(Endpoint& endpoint, bool removed, double sinceMs) {
   endpoint.removed = removed;
   if (!endpoint.facts.drainingSinceMs)
-    endpoint.facts.drainingSinceMs = nowMs;
+    endpoint.facts.drainingSinceMs = sinceMs;
 }
 
 void EndpointRegistry::markUnlistedRemoved(const std::vector<EndpointRecord>& listed,
-                                           double nowMs) {
+                                           double drainsSinceMs) {
   std::set<InstanceId> listedIds;
   for (const EndpointRecord& record : listed)
     listedIds.insert(record.instance);
   for (auto& [instance, endpoint] : endpoints_)
     if (listedIds.count(instance) == 0)
-      markDraining(endpoint, /*removed=*/true, nowMs);
+      markDraining(endpoint, /*removed=*/true, drainsSinceMs);
 }
 
-void EndpointRegistry::applyRecord(const EndpointRecord& record, double nowMs) {
+void EndpointRegistry::applyRecord(const EndpointRecord& record, double drainsSinceMs) {
   Endpoint& endpoint = endpoints_[record.instance];
   if (record.state == EndpointState::kActive)
     endpoint = Endpoint{};
   else
-    markDraining(endpoint, record.state == EndpointState::kRemoved, nowMs);
+    markDraining(endpoint, record.state == EndpointState::kRemoved, drainsSinceMs);
   endpoint.facts.listed = true;
   endpoint.facts.isPrefill =
       record.kind.value < isPrefillKind_.size() && isPrefillKind_[record.kind.value];
--- a/src/core/endpoint_registry.h
+++ b/src/core/endpoint_registry.h
@@ -29,9 +29,10 @@
     bool removed = false;
   };
 
-  static void markDraining(Endpoint& endpoint, bool removed, double nowMs);
-  void markUnlistedRemoved(const std::vector<routing::EndpointRecord>& listed, double nowMs);
-  void applyRecord(const routing::EndpointRecord& record, double nowMs);
+  static void markDraining(Endpoint& endpoint, bool removed, double sinceMs);
+  void markUnlistedRemoved(const std::vector<routing::EndpointRecord>& listed,
+                           double drainsSinceMs);
+  void applyRecord(const routing::EndpointRecord& record, double drainsSinceMs);
   void forgetRemoved(double nowMs);
 
   double drainGraceMs_ = 0;
--- a/src/fleet/list_confirmation.h
+++ b/src/fleet/list_confirmation.h
@@ -37,11 +37,11 @@
   /// The list is unconfirmed from the start.
   explicit ListConfirmation(double nowMs) : doubt_(ListDoubt::kNotListed), sinceMs_(nowMs) {}
 
-  /// The list may be outdated from now on. While it is unconfirmed already, only the reason
+  /// The list may be outdated since this time. While it is unconfirmed already, only the reason
   /// changes.
-  void doubt(ListDoubt reason, double nowMs) {
+  void doubt(ListDoubt reason, double sinceMs) {
     if (!doubt_)
-      sinceMs_ = nowMs;
+      sinceMs_ = sinceMs;
     doubt_ = reason;
   }
   void confirm(double nowMs) {
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -47,7 +47,7 @@
 EndpointListUpdate Membership::applyUpdate(const EndpointListUpdate& update, double nowMs) {
   if (update.form == EndpointListForm::kFailed)
     return update;
-  EndpointListUpdate result{++version_, update.form, {}};
+  EndpointListUpdate result{++version_, update.form, {}, update.outdatedSince};
   if (update.form != EndpointListForm::kChanges)
     listed_.clear();
   for (const EndpointRecord& entry : update.entries) {
--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -68,7 +68,7 @@
   watchSilent_ = false;
   dropCandidate();
   if (!isFirst)
-    doubt(fleet::ListDoubt::kMoved);
+    doubt(fleet::ListDoubt::kMoved, clock_.nowMs());
   open();
 }
 
@@ -117,6 +117,7 @@
 }
 
 void Discovery::onAlive(const DiscoveryWatch& watch) {
+  lastAliveMs_ = clock_.nowMs();
   if (&watch == watch_.get() && std::exchange(watchSilent_, false)) {
     dropCandidate();
     confirmation_.confirm(clock_.nowMs());
@@ -150,7 +151,7 @@
   if (!isReplaced && !openTimer_.armed())
     scheduleOpen();
   if (!watch_)
-    doubt(fleet::ListDoubt::kWatchEnded);
+    doubt(fleet::ListDoubt::kWatchEnded, clock_.nowMs());
 }
 
 // Keeps the silent watch open and tries another in parallel. If discovery is down for all clients,
@@ -163,7 +164,7 @@
     return true;
   watchSilent_ = true;
   scheduleOpen();
-  doubt(fleet::ListDoubt::kWatchSilent);
+  doubt(fleet::ListDoubt::kWatchSilent, lastAliveMs_);
   return true;
 }
 
@@ -178,12 +179,12 @@
 }
 
 // Until a list has come, the end of a call is no other reason than the lack of a list.
-void Discovery::doubt(fleet::ListDoubt reason) {
+void Discovery::doubt(fleet::ListDoubt reason, double sinceMs) {
   const auto present = confirmation_.reason();
   const bool awaitsList =
       present == fleet::ListDoubt::kNotListed || present == fleet::ListDoubt::kMoved;
   if (!awaitsList || reason == fleet::ListDoubt::kMoved)
-    confirmation_.doubt(reason, clock_.nowMs());
+    confirmation_.doubt(reason, sinceMs);
   reportStatus();
 }
 
@@ -215,6 +216,8 @@
 // Parses the whole list before changing any state, so that a malformed list has no effect.
 void Discovery::apply(const json& list, std::optional<EndpointListForm> form) {
   EndpointList parsed = parseEndpointList(list, names_, form);
+  if (!confirmation_.confirmed() && form != EndpointListForm::kCached)
+    parsed.update.outdatedSince = core::toModuleTime(confirmation_.sinceMs());
   setStartTimes(parsed.update, parsed.endpoints);
   directory_.update(parsed.endpoints, parsed.update.form != EndpointListForm::kChanges,
                     instancePool_);
--- a/src/frontend/platform/discovery.h
+++ b/src/frontend/platform/discovery.h
@@ -81,7 +81,7 @@
   void retry();
   void useFallback();
   void scheduleOpen();
-  void doubt(fleet::ListDoubt reason);
+  void doubt(fleet::ListDoubt reason, double sinceMs);
   void reportStatus() const;
   void dropCandidate();
   void apply(const nlohmann::json& list, std::optional<routing::EndpointListForm> form);
@@ -103,7 +103,8 @@
   std::shared_ptr<DiscoveryWatch> watch_;      // has sent what its call asks for
   std::shared_ptr<DiscoveryWatch> candidate_;  // has not done so yet
   core::Timer openTimer_;
-  double openAtMs_ = 0;  // when openTimer_ is due
+  double openAtMs_ = 0;     // when openTimer_ is due
+  double lastAliveMs_ = 0;  // when a watch last sent a document that was accepted
   fleet::ListConfirmation confirmation_;
   std::function<void()> onRetry_;
   std::function<void(const DiscoveryStatus&)> onStatus_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,9 +45,9 @@
     "  version        print the version\n"
     "  help           print this\n"
     "\n"
-    "While it serves, SIGHUP reads the configuration again, SIGUSR1 prints the counters to the "
-    "log, and\n"
-    "SIGTERM ends it once all that it has taken is answered.\n"
+    "While it serves, SIGHUP reads the configuration again, and retries until it can be used; "
+    "SIGUSR1\n"
+    "prints the counters to the log; SIGTERM ends it once all that it has taken is answered.\n"
     "\n";
 
 options::options_description describeServe() {
--- a/src/routing/instance_registry.cpp
+++ b/src/routing/instance_registry.cpp
@@ -7,9 +7,9 @@
 namespace inference_router::routing {
 namespace {
 
-void markDraining(Instance& instance, EndpointState state, Time now) {
+void markDraining(Instance& instance, EndpointState state, Time since) {
   if (!instance.drainingSince)
-    instance.drainingSince = now;
+    instance.drainingSince = since;
   instance.endpoint.state = state;
 }
 
@@ -20,16 +20,20 @@
   return found == instances_.end() ? nullptr : &found->second;
 }
 
+// A drain that may have begun earlier than it is reported has used up its grace period to that
+// extent.
 void InstanceRegistry::apply(const EndpointListUpdate& update, Time now) {
+  const Time earliest = now - settings_.contract.drainGrace;
+  const Time drainsSince = std::clamp(update.outdatedSince.value_or(now), earliest, now);
   if (update.form != EndpointListForm::kChanges) {
     for (auto& [id, instance] : instances_)
-      markDraining(instance, EndpointState::kRemoved, now);
+      markDraining(instance, EndpointState::kRemoved, drainsSince);
   }
   for (const EndpointRecord& entry : update.entries)
-    applyEndpoint(entry, now);
+    applyEndpoint(entry, now, drainsSince);
 }
 
-void InstanceRegistry::applyEndpoint(const EndpointRecord& entry, Time now) {
+void InstanceRegistry::applyEndpoint(const EndpointRecord& entry, Time now, Time drainsSince) {
   if (entry.kind.value >= settings_.kinds.size())
     return;
   auto [found, added] = instances_.try_emplace(entry.instance);
@@ -47,7 +51,7 @@
   if (entry.state == EndpointState::kActive)
     instance.drainingSince.reset();
   else
-    markDraining(instance, entry.state, now);
+    markDraining(instance, entry.state, drainsSince);
 }
 
 void InstanceRegistry::eraseRemoved(const RequestMap& requests, Time now) {
--- a/src/routing/instance_registry.h
+++ b/src/routing/instance_registry.h
@@ -34,7 +34,7 @@
   void eraseRemoved(const RequestMap& requests, Time now);
 
  private:
-  void applyEndpoint(const EndpointRecord& entry, Time now);
+  void applyEndpoint(const EndpointRecord& entry, Time now, Time drainsSince);
 
   const Settings& settings_;
   std::string seed_;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -144,6 +144,49 @@
   ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
 }
 
+// Guards against sends to an instance whose drain is reported late: discovery counts it as known
+// while the watch is lost.
+TEST(DiscoveryWatch, DrainReportedAfterALostWatchCountsFromTheLossOn) {
+  for (const bool lost : {false, true}) {
+    DiscoveryFixture fixture;
+    Agent agent(fixture);
+    fixture.discovery.watch(agent.address());
+    agent.acceptCall();
+    agent.beginWatch(listOf(41, true, "active"));
+    ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 1; }));
+    const std::string change = listOf(42, false, "leaving");
+    if (lost) {
+      agent.reset();
+      ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
+      fixture.pass(151);
+      agent.acceptCall();
+      fixture.pass(700);
+      agent.beginWatch(change);
+    } else {
+      fixture.pass(851);
+      agent.write(net::encodeChunk(change));
+    }
+    ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 2; }));
+    EXPECT_EQ(fixture.dispatcher.mayReserve({"a"}), !lost);
+  }
+}
+
+// A silent watch may have missed a drain since its last line.
+TEST(DiscoveryWatch, DrainReportedAfterASilentWatchCountsFromItsLastLineOn) {
+  DiscoveryFixture fixture;
+  Agent agent(fixture);
+  fixture.discovery.watch(agent.address());
+  agent.acceptCall();
+  agent.beginWatch(listOf(41, true, "active"));
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 1; }));
+  const double lastLineMs = fixture.clock.nowMs();
+  fixture.pass(2'601);
+  EXPECT_EQ(fixture.discovery.status().list.sinceMs(), lastLineMs);
+  agent.write(net::encodeChunk(listOf(42, false, "leaving")));
+  ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.lists"] == 2; }));
+  EXPECT_FALSE(fixture.dispatcher.mayReserve({"a"}));
+}
+
 // The environment of a process may name an address that discovery has left, and its file the new
 // one.
 TEST(DiscoveryWatch, AddressesTakeTurnsUntilOneSendsAList) {
@@ -206,13 +249,14 @@
   before.beginWatch(listOf(41, true, "active"));
   ASSERT_TRUE(fixture.until([&] { return fixture.discovery.hasWatch(); }));
   fixture.pass(2'601);
-  const double silentMs = fixture.clock.nowMs();
   before.write(net::encodeChunk("\n"));
   ASSERT_TRUE(fixture.until([&] { return fixture.discovery.status().list.confirmed(); }));
+  fixture.pass(500);
+  const double endedMs = fixture.clock.nowMs();
   before.reset();
   ASSERT_TRUE(fixture.until([&] { return fixture.counters["discovery.broken"] == 1; }));
   EXPECT_TRUE(fixture.discovery.status().nextCallMs);
-  EXPECT_EQ(fixture.discovery.status().list.sinceMs(), silentMs);
+  EXPECT_EQ(fixture.discovery.status().list.sinceMs(), endedMs);
   fixture.discovery.watch(after.address());
   EXPECT_EQ(fixture.discovery.status().address, after.address());
   EXPECT_EQ(reasons, (std::vector<std::optional<ListDoubt>>{
--- a/tests/router_health_test.cpp
+++ b/tests/router_health_test.cpp
@@ -68,6 +68,25 @@
   EXPECT_NE(decodeInstance, "");
 }
 
+// Guards against sends to an instance whose drain was reported late, after discovery was lost.
+TEST(Draining, ReservationIsNotUsedIfTheDrainMayHaveBegunBeforeItWasReported) {
+  RouterHarness router;
+  router.updateEndpoints(
+      {endpoint("r0", kPrefill), endpoint("w0", kDecode), endpoint("v0", kDecode)});
+  const std::string reserved = router.arrive("a").reservedAt();
+  router.handle(ReservationResult{{"a"}, 0, {reserved}, true});
+  const Time lost = router.now();
+  router.advance(700ms).handle(
+      EndpointListUpdate{2,
+                         EndpointListForm::kChanges,
+                         {withState(endpoint(reserved, kDecode), EndpointState::kDraining)},
+                         lost});
+  const std::string decodeInstance =
+      router.endAttempt("a", "r0", AttemptOutcome::kPrefilled).sentTo();
+  EXPECT_NE(decodeInstance, reserved);
+  EXPECT_NE(decodeInstance, "");
+}
+
 TEST(EndpointList, IsRequestedWhenPolledAndAgainAfterAFailure) {
   Settings settings = plainSettings();
   settings.discovery = Discovery::kPoll;
