--- a/src/app/coordinator.cpp
+++ b/src/app/coordinator.cpp
@@ -186,7 +186,7 @@
   const auto write = presence_.nextWrite(presence, server_.clock.nowMs());
   if (!write)
     return;
-  session_->store->write(*write, lifetime_.guard([this](const CommitResponse& answer) {
+  session_->store->write(*write, guard_.wrap([this](const CommitResponse& answer) {
     presence_.onWritten(answer, server_.clock.nowMs());
   }));
 }
@@ -217,7 +217,7 @@
 
 // On what the store holds now, not on what was read some time ago.
 void Coordinator::decide(const PlanChange& change) {
-  session_->store->readAll(lifetime_.guard([this, change](const ReadResponse& listing) {
+  session_->store->readAll(guard_.wrap([this, change](const ReadResponse& listing) {
     if (!listing.ok)
       return change.onResult(
           {.ok = false, .message = "the store cannot be read: " + listing.error});
@@ -235,8 +235,9 @@
 void Coordinator::write(const PlanChange& change, const PlanDecision& decision) {
   session_->store->write(
       *decision.write,
-      lifetime_.guard([this, change, outcome = decision.confirmation](
-                          const CommitResponse& answer) { onWritten(change, outcome, answer); }));
+      guard_.wrap([this, change, outcome = decision.confirmation](const CommitResponse& answer) {
+        onWritten(change, outcome, answer);
+      }));
 }
 
 void Coordinator::onWritten(const PlanChange& change,
--- a/src/app/coordinator.h
+++ b/src/app/coordinator.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 
-#include "app/lifetime.h"
 #include "app/plan_follower.h"
 #include "app/server.h"
 #include "app/shared_state_service.h"
@@ -18,6 +17,7 @@
 #include "coordination/presence.h"
 #include "coordination/runner.h"
 #include "coordination/setup.h"
+#include "core/callback_guard.h"
 
 namespace inference_router::app {
 
@@ -90,7 +90,7 @@
   bool resigned_ = false, rivalLogged_ = false;
   core::Timer pendingTimer_;
   std::unique_ptr<Session> session_;
-  Lifetime lifetime_;  // the last member
+  core::CallbackGuard guard_;  // the last member
 };
 
 }  // namespace inference_router::app
--- a/src/app/shared_state_service.cpp
+++ b/src/app/shared_state_service.cpp
@@ -68,7 +68,7 @@
   const auto write = node_.nextReport(core::unixNowMs(), server_.clock.nowMs());
   if (!write)
     return;
-  writer_(*write, lifetime_.guard([this](const coordination::CommitResponse& answer) {
+  writer_(*write, guard_.wrap([this](const coordination::CommitResponse& answer) {
     node_.onWritten(answer, server_.clock.nowMs());
   }));
 }
--- a/src/app/shared_state_service.h
+++ b/src/app/shared_state_service.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "app/lifetime.h"
 #include "app/server.h"
 #include "app/shared_state_report.h"
 #include "control/admin_api.h"
 #include "coordination/task.h"
+#include "core/callback_guard.h"
 #include "frontend/openai/token_meter.h"
 #include "shared/digest_task.h"
 #include "shared/node.h"
@@ -85,7 +85,7 @@
   shared::ConnectivityState loggedState_ = shared::ConnectivityState::kRejoining;
   std::string loggedFault_;
   core::Timer timer_;
-  Lifetime lifetime_;  // the last member
+  core::CallbackGuard guard_;  // the last member
 };
 
 }  // namespace inference_router::app
--- a/src/coordination/etcd_client.h
+++ b/src/coordination/etcd_client.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "admission/descriptor_budget.h"
-#include "coordination/callback_guard.h"
+#include "core/callback_guard.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/timer_queue.h"
@@ -65,7 +65,7 @@
   net::ConnectionPool pool_;
   std::size_t endpointIndex_ = 0;
   std::set<Exchange*> exchanges_;
-  CallbackGuard guard_;
+  core::CallbackGuard guard_;
 };
 
 }  // namespace inference_router::coordination
--- a/src/coordination/runner.h
+++ b/src/coordination/runner.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "coordination/callback_guard.h"
 #include "coordination/lease_report.h"
 #include "coordination/task.h"
+#include "core/callback_guard.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/timer_queue.h"
@@ -109,7 +109,7 @@
   bool reading_ = false;
   bool readAgain_ = false;  // after the pending read
   core::Timer nextTick_;
-  CallbackGuard guard_;
+  core::CallbackGuard guard_;
 };
 
 }  // namespace inference_router::coordination
--- a/src/coordination/sqlite_store.h
+++ b/src/coordination/sqlite_store.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "coordination/callback_guard.h"
 #include "coordination/sqlite_file.h"
 #include "coordination/storage_thread.h"
 #include "coordination/store.h"
+#include "core/callback_guard.h"
 
 namespace inference_router::coordination {
 
@@ -38,7 +38,7 @@
   std::string path_;
   double busyTimeoutMs_;
   std::unique_ptr<SqliteFile> file_;  // used on the storage thread only
-  CallbackGuard guard_;
+  core::CallbackGuard guard_;
   StorageThread thread_;  // last: joined before the members that its jobs use are destroyed
 };
 
--- a/src/coordination/callback_guard.h
+++ b/src/core/callback_guard.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <utility>
 
-namespace inference_router::coordination {
+namespace inference_router::core {
 
 /// Held as a member by the object that registers the callbacks. The wrapped callbacks may be copied
 /// and destroyed on any thread, but must be called on the thread that destroys the object.
@@ -29,4 +29,4 @@
   std::shared_ptr<const Token> token_ = std::make_shared<const Token>();
 };
 
-}  // namespace inference_router::coordination
+}  // namespace inference_router::core
