--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -55,6 +55,7 @@
 // Discovery at the old address: gone at once, after a while, or not before the end of the play.
 constexpr std::array kOldAddressForMs{1'500.0, 0.0, 3'000.0, 60'000.0};
 constexpr int kMovedRouters = 3;
+constexpr std::uint64_t kMoveStride = 7;  // between the combinations of faults of one seed's moves
 constexpr int kLatestMoveMs = 1'500;
 constexpr int kMoveTwiceEvery = 3;  // one seed in so many moves a router again soon
 constexpr int kLeastPauseMs = 50, kMaxPauseMs = 900;
@@ -91,6 +92,93 @@
           entry.at("old_address_for_ms")};
 }
 
+constexpr int kMaxTarget = 1'000'000;
+constexpr int kSpreadMs = 800;  // of most faults, about one moment
+constexpr int kRoles = 3;       // prefill, decode and mixed by number; faults hit the first two
+constexpr int kRolesInTurn = 2;
+
+// Draws the faults of a plan from its seed.
+class FaultDraw {
+ public:
+  explicit FaultDraw(Plan& plan) : plan_(plan), random_(plan.seed) {}
+
+  // Most faults gather about one moment, so that they overlap.
+  void draw() {
+    const double centreMs = number(3'000, static_cast<int>(plan_.lengthMs) - 4'000);
+    for (int left = number(kLeastFaults, kMaxFaults); left > 0; --left)
+      addAny(centreMs);
+    addLostMessages(centreMs);
+    plan_.faults.push_back({FaultKind::kDrain, target(), nearby(centreMs), 0, {}, {}});
+    const double moveMs = number(0, kLatestMoveMs);
+    addMoves(moveMs);
+    addDrainsAfterMove(moveMs);
+  }
+
+ private:
+  int number(int min, int max) { return std::uniform_int_distribution<int>(min, max)(random_); }
+  int target() { return number(0, kMaxTarget); }
+  double nearby(double centreMs) { return centreMs + number(-kSpreadMs, kSpreadMs); }
+  double duration() { return number(static_cast<int>(kLeastMs), static_cast<int>(kMaxMs)); }
+
+  // Half of them are system calls.
+  void addAny(double centreMs) {
+    PlannedFault next;
+    const int kinds = static_cast<int>(kNames.size());
+    const int drawn = number(0, 2 * kinds);
+    next.kind = drawn < kinds ? static_cast<FaultKind>(drawn) : FaultKind::kSystemCalls;
+    next.target = target();
+    next.atMs = nearby(centreMs);
+    next.forMs = duration();
+    if (next.kind == FaultKind::kSystemCalls)
+      next.rule =
+          kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
+    if (next.kind == FaultKind::kMoveDiscovery)
+      next.move = moveOf(static_cast<std::uint64_t>(next.target));
+    plan_.faults.push_back(next);
+  }
+
+  // Every seed has messages of prefill or decode instances that are lost or late: what is drawn
+  // alone has them too seldom.
+  void addLostMessages(double centreMs) {
+    constexpr std::array kAlways{FaultKind::kReadNothing, FaultKind::kLoseAnswers,
+                                 FaultKind::kLoseRequests};
+    const int role = static_cast<int>(plan_.seed / 2 % kRolesInTurn);
+    const int instance = target() * kRoles + role;
+    const double lastsMs = number(static_cast<int>(kMaxMs) / 2, static_cast<int>(kMaxMs));
+    const FaultKind always = kAlways.at(plan_.seed / 2 % kAlways.size());
+    plan_.faults.push_back({always, instance, nearby(centreMs), lastsMs, {}, {}});
+  }
+
+  // Every seed moves discovery for some routers.
+  void addMoves(double moveMs) {
+    for (int i = 0; i < kMovedRouters; ++i) {
+      const DiscoveryMove move = moveOf(plan_.seed + static_cast<std::uint64_t>(i) * kMoveStride);
+      const double forMs = duration();
+      plan_.faults.push_back({FaultKind::kMoveDiscovery, target(), moveMs, forMs, {}, move});
+    }
+    if (plan_.seed % kMoveTwiceEvery != 0)
+      return;
+    PlannedFault again = plan_.faults.back();
+    again.atMs += number(kLeastPauseMs, kMaxPauseMs);
+    again.move = moveOf(plan_.seed + 1);
+    plan_.faults.push_back(again);
+  }
+
+  // An instance of each of the first two roles begins to drain once the new address counts, or in
+  // every other seed one of them during the move.
+  void addDrainsAfterMove(double moveMs) {
+    for (int role = 0; role < kRolesInTurn; ++role) {
+      const bool duringMove = role == 0 && plan_.seed % 2 == 1;
+      const double fromMs = duringMove ? moveMs : moveMs + kMoveAllowanceMs;
+      const double atMs = fromMs + number(100, kLatestDrainAfterMoveMs);
+      plan_.faults.push_back({FaultKind::kDrain, target() * kRoles + role, atMs, 0, {}, {}});
+    }
+  }
+
+  Plan& plan_;
+  std::mt19937_64 random_;
+};
+
 }  // namespace
 
 const char* nameOf(FaultKind fault) {
@@ -106,10 +194,6 @@
 }
 
 Plan drawPlan(std::uint64_t seed, int routers, int instances, double lengthMs) {
-  std::mt19937_64 random(seed);
-  const auto number = [&](int min, int max) {
-    return std::uniform_int_distribution<int>(min, max)(random);
-  };
   Plan plan;
   plan.seed = seed;
   plan.routers = routers;
@@ -119,58 +203,7 @@
   plan.reservationsByArrival = seed % 2 == 0;
   plan.idleClients = seed % kCrowdEvery == 3 ? kCrowd : 0;
   plan.drainingRejects = seed / 2 % 2 == 0;
-  // Faults gather about one moment, so that they overlap.
-  const double centreMs = number(3'000, static_cast<int>(lengthMs) - 4'000);
-  for (int left = number(kLeastFaults, kMaxFaults); left > 0; --left) {
-    PlannedFault next;
-    const int drawn =
-        number(0, 2 * static_cast<int>(kNames.size()));  // half of them are system calls
-    next.kind = drawn < static_cast<int>(kNames.size()) ? static_cast<FaultKind>(drawn)
-                                                        : FaultKind::kSystemCalls;
-    next.target = number(0, 1'000'000);
-    next.atMs = centreMs + number(-800, 800);
-    next.forMs = number(static_cast<int>(kLeastMs), static_cast<int>(kMaxMs));
-    if (next.kind == FaultKind::kSystemCalls)
-      next.rule =
-          kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
-    if (next.kind == FaultKind::kMoveDiscovery)
-      next.move = moveOf(static_cast<std::uint64_t>(next.target));
-    plan.faults.push_back(next);
-  }
-  // Every seed has a drain, and messages of prefill or decode instances that are lost or late: what
-  // is drawn alone has them too seldom.
-  constexpr std::array kAlways{FaultKind::kReadNothing, FaultKind::kLoseAnswers,
-                               FaultKind::kLoseRequests};
-  constexpr int kRoles = 3, kRolesInTurn = 2;  // prefill, decode and mixed by number; the first two
-  const int role = static_cast<int>(seed / 2 % kRolesInTurn);
-  const int instance = number(0, 1'000'000) * kRoles + role;
-  const double lastsMs = number(static_cast<int>(kMaxMs) / 2, static_cast<int>(kMaxMs));
-  const FaultKind always = kAlways.at(seed / 2 % kAlways.size());
-  plan.faults.push_back({always, instance, centreMs + number(-800, 800), lastsMs, {}, {}});
-  plan.faults.push_back(
-      {FaultKind::kDrain, number(0, 1'000'000), centreMs + number(-800, 800), 0, {}, {}});
-  // Every seed moves discovery for some routers. An instance of each of the first two roles begins
-  // to drain once the new address counts, or in every other seed one of them during the move.
-  const double moveMs = number(0, kLatestMoveMs);
-  for (int i = 0; i < kMovedRouters; ++i) {
-    const DiscoveryMove move = moveOf(seed + static_cast<std::uint64_t>(i) * 7);
-    const double forMs = number(static_cast<int>(kLeastMs), static_cast<int>(kMaxMs));
-    plan.faults.push_back(
-        {FaultKind::kMoveDiscovery, number(0, 1'000'000), moveMs, forMs, {}, move});
-  }
-  if (seed % kMoveTwiceEvery == 0) {
-    PlannedFault again = plan.faults.back();
-    again.atMs += number(kLeastPauseMs, kMaxPauseMs);
-    again.move = moveOf(seed + 1);
-    plan.faults.push_back(again);
-  }
-  for (int drained = 0; drained < kRolesInTurn; ++drained) {
-    const bool duringMove = drained == 0 && seed % 2 == 1;
-    const double fromMs = duringMove ? moveMs : moveMs + kMoveAllowanceMs;
-    const double atMs = fromMs + number(100, kLatestDrainAfterMoveMs);
-    plan.faults.push_back(
-        {FaultKind::kDrain, number(0, 1'000'000) * kRoles + drained, atMs, 0, {}, {}});
-  }
+  FaultDraw(plan).draw();
   return plan;
 }
 
