--- a/soak/discovery_agent.cpp
+++ b/soak/discovery_agent.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-Agent::Agent(Environment& environment, const net::Endpoint& address, NewAddressFault fault)
+Agent::Agent(Environment& environment, const net::Endpoint& address, DiscoveryFault fault)
     : environment_(environment),
       address_(address),
       fault_(fault),
@@ -36,7 +36,7 @@
                 environment.clock,
                 environment.timers,
                 environment.counters,
-                {.open = fault != NewAddressFault::kRefused}) {
+                {.open = fault != DiscoveryFault::kRefused}) {
   beat();
 }
 
@@ -49,11 +49,11 @@
 void Agent::request(const std::shared_ptr<net::ClientConnection>& connection,
                     net::HttpRequest&& request,
                     double) {
-  if (down_ || fault_ == NewAddressFault::kSilent) {
+  if (down_ || fault_ == DiscoveryFault::kSilent) {
     waiting_.insert(connection);
     return;
   }
-  if (fault_ == NewAddressFault::kErrors)
+  if (fault_ == DiscoveryFault::kErrors)
     return connection->answer(kUnavailable, {}, "");
   openWatch(connection, revisionAfter(std::string(request.target())));
 }
@@ -61,7 +61,7 @@
 // A caller that has this revision already gets changes alone, of which there are none yet.
 void Agent::openWatch(const std::shared_ptr<net::ClientConnection>& connection,
                       std::uint64_t after) {
-  const bool listIsLate = fault_ == NewAddressFault::kEmptyLineFirst;
+  const bool listIsLate = fault_ == DiscoveryFault::kEmptyLineFirst;
   connection->beginStream({});
   connection->writeChunk(listIsLate || after >= list_.revision ? "\n" : list_.complete);
   watches_.insert(connection);
@@ -104,7 +104,7 @@
 }
 
 void Agent::recover() {
-  fault_ = NewAddressFault::kNone;
+  fault_ = DiscoveryFault::kNone;
   listener_.open();
   for (const auto& watch : std::exchange(listless_, {}))
     watch->abortResponse();
@@ -112,7 +112,7 @@
 }
 
 void Agent::answerWaiting() {
-  if (down_ || fault_ == NewAddressFault::kSilent)
+  if (down_ || fault_ == DiscoveryFault::kSilent)
     return;
   for (const auto& connection : std::exchange(waiting_, {}))
     openWatch(connection, 0);
--- a/soak/discovery_agent.h
+++ b/soak/discovery_agent.h
@@ -27,7 +27,7 @@
   /// Listens at once unless its connections are to be refused until the fault ends.
   Agent(Environment& environment,
         const net::Endpoint& address,
-        NewAddressFault fault = NewAddressFault::kNone);
+        DiscoveryFault fault = DiscoveryFault::kNone);
   void request(const std::shared_ptr<net::ClientConnection>& connection,
                net::HttpRequest&& request,
                double arrivedMs) override;
@@ -56,7 +56,7 @@
 
   Environment& environment_;
   net::Endpoint address_;
-  NewAddressFault fault_;
+  DiscoveryFault fault_;
   ListText list_;
   Connections watches_;
   Connections waiting_;   // calls without an answer
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -18,8 +18,8 @@
                             "reject",        "discovery_down", "read_nothing", "lose_answers",
                             "lose_requests", "move_discovery"};
 constexpr std::array kFileFaultNames{"none", "missing", "truncated", "old", "unusable"};
-constexpr std::array kNewAddressFaultNames{"none", "empty_line_first", "silent", "refused",
-                                           "errors"};
+constexpr std::array kDiscoveryFaultNames{"none", "empty_line_first", "silent", "refused",
+                                          "errors"};
 
 // Of the settings' classes, in turn over the seeds.
 constexpr std::array kDeadlinesMs{3'000.0, 500.0, 7'000.0, 800.0, 1'500.0};
@@ -66,8 +66,8 @@
 // Goes through all combinations of faults as the number rises.
 DiscoveryMove moveOf(std::uint64_t number) {
   const auto file = number % kFileFaultNames.size();
-  const auto address = number / kFileFaultNames.size() % kNewAddressFaultNames.size();
-  return {static_cast<FileFault>(file), static_cast<NewAddressFault>(address),
+  const auto address = number / kFileFaultNames.size() % kDiscoveryFaultNames.size();
+  return {static_cast<FileFault>(file), static_cast<DiscoveryFault>(address),
           kOldAddressForMs.at(number % kOldAddressForMs.size())};
 }
 
@@ -86,10 +86,10 @@
 }
 
 DiscoveryMove moveIn(const json& entry) {
-  return {valueNamed<FileFault>(kFileFaultNames, entry.at("file").get<std::string>()),
-          valueNamed<NewAddressFault>(kNewAddressFaultNames,
-                                      entry.at("new_address").get<std::string>()),
-          entry.at("old_address_for_ms")};
+  return {
+      valueNamed<FileFault>(kFileFaultNames, entry.at("file").get<std::string>()),
+      valueNamed<DiscoveryFault>(kDiscoveryFaultNames, entry.at("new_address").get<std::string>()),
+      entry.at("old_address_for_ms")};
 }
 
 constexpr int kMaxTarget = 1'000'000;
@@ -189,8 +189,8 @@
   return kFileFaultNames.at(static_cast<std::size_t>(fault));
 }
 
-const char* nameOf(NewAddressFault fault) {
-  return kNewAddressFaultNames.at(static_cast<std::size_t>(fault));
+const char* nameOf(DiscoveryFault fault) {
+  return kDiscoveryFaultNames.at(static_cast<std::size_t>(fault));
 }
 
 Plan drawPlan(std::uint64_t seed, int routers, int instances, double lengthMs) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -41,18 +41,18 @@
 const char* nameOf(FileFault fault);
 
 /// Discovery at a new address, until the fault ends.
-enum class NewAddressFault {
+enum class DiscoveryFault {
   kNone,
   kEmptyLineFirst,  ///< a watch gets an empty line, and breaks before the list
   kSilent,          ///< calls are accepted and not answered
   kRefused,         ///< connections are refused
   kErrors,          ///< calls are answered with 503
 };
-const char* nameOf(NewAddressFault fault);
+const char* nameOf(DiscoveryFault fault);
 
 struct DiscoveryMove {
   FileFault file = FileFault::kNone;
-  NewAddressFault newAddress = NewAddressFault::kNone;
+  DiscoveryFault newAddress = DiscoveryFault::kNone;
   /// Discovery goes on at the old address for so long after SIGHUP, and learns nothing new.
   double oldAddressForMs = 0;
 };
--- a/tests/discovery_move_processes_test.cpp
+++ b/tests/discovery_move_processes_test.cpp
@@ -17,7 +17,7 @@
 constexpr double kLengthMs = kDrainMs + 2'500;
 constexpr int kPrefill = 0, kDecode = 1;  // numbers of instances, which take turns in their roles
 
-Plan planOf(FileFault file, NewAddressFault newAddress, double drainMs = kDrainMs) {
+Plan planOf(FileFault file, DiscoveryFault newAddress, double drainMs = kDrainMs) {
   Plan plan;
   plan.routers = 2;
   plan.instances = 12;
@@ -54,33 +54,33 @@
 
 // Guards against a new configuration that is lost because its file cannot be used at SIGHUP.
 TEST(DiscoveryMove, KeepsDrainsIfFileIsMissingAtSighup) {
-  expectDrainsKept(planOf(FileFault::kMissing, NewAddressFault::kNone));
+  expectDrainsKept(planOf(FileFault::kMissing, DiscoveryFault::kNone));
 }
 
 TEST(DiscoveryMove, KeepsDrainsIfFileIsCompletedAfterSighup) {
-  expectDrainsKept(planOf(FileFault::kTruncated, NewAddressFault::kNone));
+  expectDrainsKept(planOf(FileFault::kTruncated, DiscoveryFault::kNone));
 }
 
 TEST(DiscoveryMove, KeepsDrainsIfFileCannotBeUsedAtSighup) {
-  expectDrainsKept(planOf(FileFault::kUnusable, NewAddressFault::kNone));
+  expectDrainsKept(planOf(FileFault::kUnusable, DiscoveryFault::kNone));
 }
 
 // Guards against a new configuration that is lost because its file is replaced after SIGHUP.
 TEST(DiscoveryMove, KeepsDrainsIfFileIsReplacedAfterSighup) {
-  expectDrainsKept(planOf(FileFault::kOld, NewAddressFault::kNone));
+  expectDrainsKept(planOf(FileFault::kOld, DiscoveryFault::kNone));
 }
 
 // Guards against an empty line that is taken for the list of an address that has not sent one.
 TEST(DiscoveryMove, KeepsDrainsIfNewAddressSendsAnEmptyLineFirst) {
-  expectDrainsKept(planOf(FileFault::kNone, NewAddressFault::kEmptyLineFirst, kDrainDuringMoveMs));
+  expectDrainsKept(planOf(FileFault::kNone, DiscoveryFault::kEmptyLineFirst, kDrainDuringMoveMs));
 }
 
 TEST(DiscoveryMove, KeepsDrainsIfNewAddressRefusesConnectionsFirst) {
-  expectDrainsKept(planOf(FileFault::kNone, NewAddressFault::kRefused, kDrainDuringMoveMs));
+  expectDrainsKept(planOf(FileFault::kNone, DiscoveryFault::kRefused, kDrainDuringMoveMs));
 }
 
 TEST(DiscoveryMove, KeepsDrainsIfNewAddressAnswersWithErrorsFirst) {
-  expectDrainsKept(planOf(FileFault::kNone, NewAddressFault::kErrors, kDrainDuringMoveMs));
+  expectDrainsKept(planOf(FileFault::kNone, DiscoveryFault::kErrors, kDrainDuringMoveMs));
 }
 
 }  // namespace
