--- a/soak/discovery_agent.cpp
+++ b/soak/discovery_agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace inference_router::soak {
@@ -25,54 +26,95 @@
 
 }  // namespace
 
-Agent::Agent(Environment& environment, const net::Endpoint& address, DiscoveryFault fault)
-    : environment_(environment),
-      address_(address),
-      fault_(fault),
-      listener_(environment.io,
-                address,
-                kConnections,
-                *this,
-                environment.clock,
-                environment.timers,
-                environment.counters,
-                {.open = fault != DiscoveryFault::kRefused}) {
+Agent::Agent(Environment& environment, DiscoveryCapacity& capacity, const net::Endpoint& address)
+    : environment_(environment), capacity_(capacity), address_(address) {
+  listen();
   beat();
 }
 
+void Agent::listen() {
+  listeners_.push_back(std::make_unique<net::Listener>(
+      environment_.io, address_, kConnections, *this, environment_.clock, environment_.timers,
+      environment_.counters, net::Listener::Options{}));
+}
+
+void Agent::stopListening() {
+  listeners_.back()->drain(0, [] {});
+}
+
 void Agent::beat() {
   for (const auto& watch : watches_)
     watch->writeChunk("\n");
   environment_.after(kHeartbeatMs, [this] { beat(); });
 }
 
-void Agent::request(const std::shared_ptr<net::ClientConnection>& connection,
-                    net::HttpRequest&& request,
-                    double) {
-  if (down_ || fault_ == DiscoveryFault::kSilent) {
-    waiting_.insert(connection);
-    return;
+// ---- Calls
+
+void Agent::request(const Connection& connection, net::HttpRequest&& request, double) {
+  ++use_.calls;
+  std::size_t connections = 0;
+  for (const auto& listener : listeners_)
+    connections += listener->size();
+  use_.maxConnections = std::max(use_.maxConnections, connections);
+  const std::uint64_t after = revisionAfter(std::string(request.target()));
+  switch (fault_) {
+    case DiscoveryFault::kSilent:
+    case DiscoveryFault::kForgotten:
+      waiting_.emplace(connection, after);
+      return;
+    case DiscoveryFault::kErrors:
+      return connection->answer(kUnavailable, {}, "");
+    case DiscoveryFault::kClosed:
+      return connection->abortResponse();
+    case DiscoveryFault::kPartialList:
+      return sendPartialList(connection);
+    default:
+      return serve(connection, after);
   }
-  if (fault_ == DiscoveryFault::kErrors)
+}
+
+void Agent::serve(const Connection& connection, std::uint64_t after) {
+  const double nowMs = environment_.clock.nowMs();
+  const auto answerMs = capacity_.admit(nowMs);
+  if (!answerMs)
     return connection->answer(kUnavailable, {}, "");
-  openWatch(connection, revisionAfter(std::string(request.target())));
+  if (*answerMs <= nowMs)
+    return openWatch(connection, after);
+  environment_.after(*answerMs - nowMs, [this, connection, after] {
+    if (connection->state() == net::ClientConnection::State::kAnswering)
+      openWatch(connection, after);
+  });
 }
 
-// A caller that has this revision already gets changes alone, of which there are none yet.
-void Agent::openWatch(const std::shared_ptr<net::ClientConnection>& connection,
-                      std::uint64_t after) {
-  const bool listIsLate = fault_ == DiscoveryFault::kEmptyLineFirst;
+void Agent::openWatch(const Connection& connection, std::uint64_t after) {
   connection->beginStream({});
-  connection->writeChunk(listIsLate || after >= list_.revision ? "\n" : list_.complete);
   watches_.insert(connection);
-  if (listIsLate && after < list_.revision)
-    listless_.insert(connection);
+  if (fault_ != DiscoveryFault::kEmptyLineFirst)
+    return sendList(connection, after);
+  connection->writeChunk("\n");
+  listless_.insert(connection);
+}
+
+// A caller that has this revision already gets changes alone, of which there are none yet.
+void Agent::sendList(const Connection& connection, std::uint64_t after) {
+  const std::string& text = after >= list_.revision ? "\n" : list_.complete;
+  connection->writeChunk(text);
+  use_.listBytes += text.size();
+  if (!returnedMs_)
+    return;
+  const double delayMs = environment_.clock.nowMs() - *std::exchange(returnedMs_, std::nullopt);
+  use_.maxReturnDelayMs = std::max(use_.maxReturnDelayMs.value_or(0), delayMs);
+}
+
+void Agent::sendPartialList(const Connection& connection) {
+  connection->beginStream({});
+  connection->writeChunk(list_.complete.substr(0, list_.complete.size() / 2));
 }
 
 void Agent::disconnected(net::ClientConnection& connection) {
   const auto is = [&](const auto& watch) { return watch.get() == &connection; };
   std::erase_if(watches_, is);
-  std::erase_if(waiting_, is);
+  std::erase_if(waiting_, [&](const auto& call) { return is(call.first); });
   std::erase_if(listless_, is);
 }
 
@@ -82,47 +124,61 @@
 
 void Agent::list(ListText text) {
   list_ = std::move(text);
-  if (list_.changes.empty())
+  if (list_.changes.empty() || down())
     return;
   for (const auto& watch : watches_)
-    if (listless_.count(watch) == 0)
-      watch->writeChunk(list_.changes);
+    watch->writeChunk(list_.changes);
+  use_.listBytes += list_.changes.size() * watches_.size();
 }
 
-void Agent::down(double forMs) {
-  down_ = true;
+// ---- Outages
+
+void Agent::goDown(const DiscoveryOutage& outage, double forMs) {
+  fault_ = outage.fault;
   downUntilMs_ = std::max(downUntilMs_, environment_.clock.nowMs() + forMs);
+  endWatches(outage.openWatches);
+  const bool unreachable =
+      fault_ == DiscoveryFault::kRefused || fault_ == DiscoveryFault::kUnconnected;
+  if (unreachable)
+    stopListening();
+  if (fault_ == DiscoveryFault::kUnconnected && !unanswered_)
+    unanswered_ = std::make_unique<UnansweredAddress>(environment_.io, address_);
+  environment_.after(downUntilMs_ - environment_.clock.nowMs(), [this] { recover(); });
+}
+
+// A silent watch stays open and is no longer written to.
+void Agent::endWatches(OpenWatches watches) {
   listless_.clear();
   for (const auto& watch : std::exchange(watches_, {}))
-    watch->abortResponse();
-  environment_.after(forMs, [this] {
-    if (environment_.clock.nowMs() < downUntilMs_)
-      return;
-    down_ = false;
-    answerWaiting();
-  });
+    if (watches == OpenWatches::kClosed)
+      watch->abortResponse();
 }
 
 void Agent::recover() {
-  fault_ = DiscoveryFault::kNone;
-  listener_.open();
-  for (const auto& watch : std::exchange(listless_, {}))
-    watch->abortResponse();
-  answerWaiting();
-}
-
-void Agent::answerWaiting() {
-  if (down_ || fault_ == DiscoveryFault::kSilent)
+  if (!down() || environment_.clock.nowMs() < downUntilMs_)
     return;
-  for (const auto& connection : std::exchange(waiting_, {}))
-    openWatch(connection, 0);
+  const DiscoveryFault ended = std::exchange(fault_, DiscoveryFault::kNone);
+  returnedMs_ = environment_.clock.nowMs();
+  unanswered_.reset();
+  if (!listeners_.back()->isOpen())
+    listen();
+  for (const auto& watch : std::exchange(listless_, {})) {
+    watches_.erase(watch);
+    watch->abortResponse();
+  }
+  const auto waiting = std::exchange(waiting_, {});
+  if (ended == DiscoveryFault::kSilent)
+    for (const auto& [connection, after] : waiting)
+      serve(connection, after);
 }
 
 void Agent::retire() {
-  listener_.drain(0, [] {});
-  for (const auto& watch : std::exchange(watches_, {}))
-    watch->abortResponse();
-  for (const auto& connection : std::exchange(waiting_, {}))
+  fault_ = DiscoveryFault::kRefused;
+  downUntilMs_ = HUGE_VAL;
+  unanswered_.reset();
+  stopListening();
+  endWatches(OpenWatches::kClosed);
+  for (const auto& [connection, after] : std::exchange(waiting_, {}))
     connection->abortResponse();
 }
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <map>
 
+#include "outage_report.h"
 #include "scenario.h"
 
 namespace {
@@ -19,7 +20,8 @@
 constexpr const char* kUsage =
     "usage: dahliastall_soak run --first SEED --last SEED [options]\n"
     "       dahliastall_soak replay --plan FILE [options]\n"
-    "       dahliastall_soak shrink --plan FILE [options]\n";
+    "       dahliastall_soak shrink --plan FILE [options]\n"
+    "       dahliastall_soak outage [--way WAY] [--start move|loss|silence] [options]\n";
 
 struct Session {
   Programs programs;
@@ -102,17 +104,47 @@
   std::cout << textOf(plan) << '\n';
 }
 
+// Plays the outage in each way, or in the one that is given.
+void outage(const options::variables_map& given, const Session& session) {
+  const std::map<std::string, OutageStart> starts{{"move", OutageStart::kMove},
+                                                  {"loss", OutageStart::kLoss},
+                                                  {"silence", OutageStart::kSilence}};
+  OutageOptions outage;
+  outage.routers = given["conductors"].as<int>();
+  outage.start = starts.at(given["start"].as<std::string>());
+  outage.forMs = given["outage-ms"].as<double>();
+  outage.load = {given["discovery-calls"].as<double>(), given.count("discovery-refuses") != 0};
+  const auto way = given["way"].as<std::string>();
+  for (int i = 1; i < static_cast<int>(DiscoveryFault::kCount); ++i) {
+    outage.way = static_cast<DiscoveryFault>(i);
+    if (way != "all" && way != nameOf(outage.way))
+      continue;
+    const std::string folder = session.out + "/outage";
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    reportOutage(outage, session.programs, folder);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   options::options_description known("options");
-  known.add_options()("command", options::value<std::string>(), "run, replay or shrink")(
+  known.add_options()("command", options::value<std::string>(), "run, replay, shrink or outage")(
+      "start", options::value<std::string>()->default_value("loss"),
+      "what the outage begins with: move, loss or silence")(
+      "way", options::value<std::string>()->default_value("all"),
+      "how discovery is out of reach, as plans name it")(
+      "outage-ms", options::value<double>()->default_value(6'500), "length of the outage")(
+      "discovery-calls", options::value<double>()->default_value(0),
+      "that discovery can serve in a second; 0: any number")(
+      "discovery-refuses", "answers more calls with 503; else they wait")(
       "first", options::value<std::uint64_t>()->default_value(1), "first seed")(
       "last", options::value<std::uint64_t>()->default_value(1), "last seed")(
       "plan", options::value<std::string>(), "file of a plan")(
       "conductors", options::value<int>()->default_value(24), "processes")(
       "instances", options::value<int>()->default_value(30), "emulated instances")(
-      "length-ms", options::value<double>()->default_value(12'000), "of a seed, in real time")(
+      "length-ms", options::value<double>()->default_value(14'000), "of a seed, in real time")(
       "order-only", "judge only rules that do not depend on the speed of this machine")(
       "out", options::value<std::string>()->default_value("soak-out"),
       "folder for plans and logs of breaks")("program", options::value<std::string>()->required(),
@@ -134,6 +166,8 @@
     const auto command = given["command"].as<std::string>();
     if (command == "run")
       return run(given, session);
+    if (command == "outage")
+      return outage(given, session), 0;
     const Plan plan = readPlan(given["plan"].as<std::string>());
     if (command == "shrink")
       return shrink(plan, session), 0;
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -18,8 +18,10 @@
                             "reject",        "discovery_down", "read_nothing", "lose_answers",
                             "lose_requests", "move_discovery"};
 constexpr std::array kFileFaultNames{"none", "missing", "truncated", "old", "unusable"};
-constexpr std::array kDiscoveryFaultNames{"none", "empty_line_first", "silent", "refused",
-                                          "errors"};
+constexpr std::array kDiscoveryFaultNames{"none",      "empty_line_first", "silent",
+                                          "refused",   "errors",           "unconnected",
+                                          "forgotten", "closed",           "partial_list"};
+constexpr std::array kOpenWatchesNames{"closed", "silent"};
 
 // Of the settings' classes, in turn over the seeds.
 constexpr std::array kDeadlinesMs{3'000.0, 500.0, 7'000.0, 800.0, 1'500.0};
@@ -51,6 +53,14 @@
 
 constexpr int kLeastFaults = 4, kMaxFaults = 9;
 constexpr double kLeastMs = 100, kMaxMs = 1'500;
+// One fault in so many lasts as long as outages of discovery and instances on the standing days.
+constexpr int kLongEvery = 4;
+constexpr int kLeastLongMs = 5'000, kMaxLongMs = 8'000;
+
+// Outages of discovery that every seed has.
+constexpr int kRoutersCutOff = 3;
+constexpr int kFirstOutageMs = 200, kLatestOutageMs = 800;
+constexpr int kMaxDrainBeforeReturnMs = 900, kMaxDrainAfterReturnMs = 1'500;
 
 // Discovery at the old address: gone at once, after a while, or not before the end of the play.
 constexpr std::array kOldAddressForMs{1'500.0, 0.0, 3'000.0, 60'000.0};
@@ -68,7 +78,14 @@
   const auto file = number % kFileFaultNames.size();
   const auto address = number / kFileFaultNames.size() % kDiscoveryFaultNames.size();
   return {static_cast<FileFault>(file), static_cast<DiscoveryFault>(address),
-          kOldAddressForMs.at(number % kOldAddressForMs.size())};
+          kOldAddressForMs.at(number % kOldAddressForMs.size()), 0};
+}
+
+// All ways to be out of reach in turn as the number rises; "none" is not one.
+DiscoveryOutage outageOf(std::uint64_t number) {
+  const auto ways = kDiscoveryFaultNames.size() - 1;
+  return {static_cast<DiscoveryFault>(1 + number % ways),
+          static_cast<OpenWatches>(number / ways % kOpenWatchesNames.size())};
 }
 
 template <class Value, class Names>
@@ -82,14 +99,27 @@
 json jsonOf(const DiscoveryMove& move) {
   return {{"file", nameOf(move.file)},
           {"new_address", nameOf(move.newAddress)},
-          {"old_address_for_ms", move.oldAddressForMs}};
+          {"old_address_for_ms", move.oldAddressForMs},
+          {"file_fault_for_ms", move.fileFaultForMs}};
 }
 
 DiscoveryMove moveIn(const json& entry) {
-  return {
-      valueNamed<FileFault>(kFileFaultNames, entry.at("file").get<std::string>()),
-      valueNamed<DiscoveryFault>(kDiscoveryFaultNames, entry.at("new_address").get<std::string>()),
-      entry.at("old_address_for_ms")};
+  const auto file = entry.at("file").get<std::string>();
+  const auto address = entry.at("new_address").get<std::string>();
+  return {valueNamed<FileFault>(kFileFaultNames, file),
+          valueNamed<DiscoveryFault>(kDiscoveryFaultNames, address), entry.at("old_address_for_ms"),
+          entry.at("file_fault_for_ms")};
+}
+
+json jsonOf(const DiscoveryOutage& outage) {
+  return {{"fault", nameOf(outage.fault)}, {"open_watches", nameOf(outage.openWatches)}};
+}
+
+DiscoveryOutage outageIn(const json& entry) {
+  const auto fault = entry.at("fault").get<std::string>();
+  const auto watches = entry.at("open_watches").get<std::string>();
+  return {valueNamed<DiscoveryFault>(kDiscoveryFaultNames, fault),
+          valueNamed<OpenWatches>(kOpenWatchesNames, watches)};
 }
 
 constexpr int kMaxTarget = 1'000'000;
@@ -108,7 +138,8 @@
     for (int left = number(kLeastFaults, kMaxFaults); left > 0; --left)
       addAny(centreMs);
     addLostMessages(centreMs);
-    plan_.faults.push_back({FaultKind::kDrain, target(), nearby(centreMs), 0, {}, {}});
+    plan_.faults.push_back({FaultKind::kDrain, target(), nearby(centreMs), 0});
+    addOutages();
     const double moveMs = number(0, kLatestMoveMs);
     addMoves(moveMs);
     addDrainsAfterMove(moveMs);
@@ -119,6 +150,7 @@
   int target() { return number(0, kMaxTarget); }
   double nearby(double centreMs) { return centreMs + number(-kSpreadMs, kSpreadMs); }
   double duration() { return number(static_cast<int>(kLeastMs), static_cast<int>(kMaxMs)); }
+  double longDuration() { return number(kLeastLongMs, kMaxLongMs); }
 
   // Half of them are system calls.
   void addAny(double centreMs) {
@@ -129,11 +161,17 @@
     next.target = target();
     next.atMs = nearby(centreMs);
     next.forMs = duration();
+    if (next.kind != FaultKind::kSystemCalls && number(1, kLongEvery) == 1)
+      next.forMs = longDuration();
+    if (next.kind == FaultKind::kDiscoveryDown)
+      next.outage = outageOf(static_cast<std::uint64_t>(next.target));
     if (next.kind == FaultKind::kSystemCalls)
       next.rule =
           kRules.at(static_cast<std::size_t>(number(0, static_cast<int>(kRules.size()) - 1)));
-    if (next.kind == FaultKind::kMoveDiscovery)
+    if (next.kind == FaultKind::kMoveDiscovery) {
       next.move = moveOf(static_cast<std::uint64_t>(next.target));
+      next.move.fileFaultForMs = std::min(next.forMs, kMaxMs);
+    }
     plan_.faults.push_back(next);
   }
 
@@ -146,14 +184,38 @@
     const int instance = target() * kRoles + role;
     const double lastsMs = number(static_cast<int>(kMaxMs) / 2, static_cast<int>(kMaxMs));
     const FaultKind always = kAlways.at(plan_.seed / 2 % kAlways.size());
-    plan_.faults.push_back({always, instance, nearby(centreMs), lastsMs, {}, {}});
+    plan_.faults.push_back({always, instance, nearby(centreMs), lastsMs});
+  }
+
+  // Discovery is out of reach of some routers for long, and learns of a drain just before its
+  // return and of another just after.
+  void addOutages() {
+    const double fromMs = number(kFirstOutageMs, kLatestOutageMs);
+    const double forMs = longDuration();
+    for (int i = 0; i < kRoutersCutOff; ++i) {
+      PlannedFault outage{FaultKind::kDiscoveryDown, target(), fromMs, forMs};
+      outage.outage = outageOf(plan_.seed + static_cast<std::uint64_t>(i) * kMoveStride);
+      plan_.faults.push_back(outage);
+    }
+    const double returnMs = fromMs + forMs;
+    const double beforeMs = returnMs - number(0, kMaxDrainBeforeReturnMs);
+    const double afterMs = returnMs + number(0, kMaxDrainAfterReturnMs);
+    const int first = static_cast<int>(plan_.seed % kRolesInTurn);
+    const int second = kRolesInTurn - 1 - first;
+    plan_.faults.push_back({FaultKind::kDrain, target() * kRoles + first, beforeMs, 0});
+    plan_.faults.push_back({FaultKind::kDrain, target() * kRoles + second, afterMs, 0});
   }
 
-  // Every seed moves discovery for some routers.
+  // Every seed moves discovery for some routers, the first of them to an address that is out of
+  // reach for long.
   void addMoves(double moveMs) {
     for (int i = 0; i < kMovedRouters; ++i) {
-      const DiscoveryMove move = moveOf(plan_.seed + static_cast<std::uint64_t>(i) * kMoveStride);
-      const double forMs = duration();
+      DiscoveryMove move = moveOf(plan_.seed + static_cast<std::uint64_t>(i) * kMoveStride);
+      move.fileFaultForMs = duration();
+      const bool isLong = i == 0;
+      if (isLong)
+        move.newAddress = outageOf(plan_.seed).fault;
+      const double forMs = isLong ? longDuration() : move.fileFaultForMs;
       plan_.faults.push_back({FaultKind::kMoveDiscovery, target(), moveMs, forMs, {}, move});
     }
     if (plan_.seed % kMoveTwiceEvery != 0)
@@ -161,6 +223,7 @@
     PlannedFault again = plan_.faults.back();
     again.atMs += number(kLeastPauseMs, kMaxPauseMs);
     again.move = moveOf(plan_.seed + 1);
+    again.move.fileFaultForMs = again.forMs;
     plan_.faults.push_back(again);
   }
 
@@ -171,7 +234,7 @@
       const bool duringMove = role == 0 && plan_.seed % 2 == 1;
       const double fromMs = duringMove ? moveMs : moveMs + kMoveAllowanceMs;
       const double atMs = fromMs + number(100, kLatestDrainAfterMoveMs);
-      plan_.faults.push_back({FaultKind::kDrain, target() * kRoles + role, atMs, 0, {}, {}});
+      plan_.faults.push_back({FaultKind::kDrain, target() * kRoles + role, atMs, 0});
     }
   }
 
@@ -193,6 +256,10 @@
   return kDiscoveryFaultNames.at(static_cast<std::size_t>(fault));
 }
 
+const char* nameOf(OpenWatches watches) {
+  return kOpenWatchesNames.at(static_cast<std::size_t>(watches));
+}
+
 Plan drawPlan(std::uint64_t seed, int routers, int instances, double lengthMs) {
   Plan plan;
   plan.seed = seed;
@@ -217,6 +284,8 @@
                {"rule", fault.rule}};
     if (fault.kind == FaultKind::kMoveDiscovery)
       entry["move"] = jsonOf(fault.move);
+    if (fault.kind == FaultKind::kDiscoveryDown)
+      entry["outage"] = jsonOf(fault.outage);
     list.push_back(std::move(entry));
   }
   return json{{"seed", plan.seed},
@@ -254,6 +323,8 @@
       next.rule = entry.at("rule");
       if (next.kind == FaultKind::kMoveDiscovery)
         next.move = moveIn(entry.at("move"));
+      if (next.kind == FaultKind::kDiscoveryDown)
+        next.outage = outageIn(entry.at("outage"));
       plan.faults.push_back(next);
     }
     return plan;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -1,5 +1,8 @@
 /// What happens in one seed of the soak: faults and signals, each with its moment. Drawn from the
 /// seed alone, and kept as text, so that a play can be repeated and made smaller.
+///
+/// The protocol and standing pages have outages of discovery of up to 8 s, and of instances of up
+/// to 27 s.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +22,7 @@
   kHang,           ///< an instance answers nothing for a while
   kReset,          ///< an instance resets what it has for a while
   kReject,         ///< an instance turns requests away for a while
-  kDiscoveryDown,  ///< watches are closed and none is answered for a while
+  kDiscoveryDown,  ///< discovery is out of a router's reach for a while, and learns nothing
   kReadNothing,    ///< some instances of one role are stopped for a while, and go on
   kLoseAnswers,    ///< connections to some instances of one role carry no more answers
   kLoseRequests,   ///< connections to some instances of one role carry nothing more, without an
@@ -29,8 +32,8 @@
 };
 const char* nameOf(FaultKind fault);
 
-/// The configuration file at the moment of SIGHUP. It is complete and new when the fault ends; no
-/// further signal tells of that.
+/// The configuration file at the moment of SIGHUP. No signal tells that it is complete and new
+/// later.
 enum class FileFault {
   kNone,
   kMissing,
@@ -40,21 +43,46 @@
 };
 const char* nameOf(FileFault fault);
 
-/// Discovery at a new address, until the fault ends.
+/// How discovery is out of reach at an address, until the fault ends.
 enum class DiscoveryFault {
   kNone,
   kEmptyLineFirst,  ///< a watch gets an empty line, and breaks before the list
-  kSilent,          ///< calls are accepted and not answered
+  kSilent,          ///< calls are accepted, and answered once the fault ends
   kRefused,         ///< connections are refused
   kErrors,          ///< calls are answered with 503
+  kUnconnected,     ///< connections never come up
+  kForgotten,       ///< calls are accepted, and not answered after the fault either
+  kClosed,          ///< calls are accepted, and their connections closed
+  kPartialList,     ///< a watch gets half a list, and nothing more after the fault either
+  kCount,
 };
 const char* nameOf(DiscoveryFault fault);
 
+/// What becomes of the watches that are open as discovery goes out of reach.
+enum class OpenWatches {
+  kClosed,
+  kSilent,  ///< they stay open and carry nothing more, after the fault either
+};
+const char* nameOf(OpenWatches watches);
+
+struct DiscoveryOutage {
+  DiscoveryFault fault = DiscoveryFault::kSilent;
+  OpenWatches openWatches = OpenWatches::kClosed;
+};
+
 struct DiscoveryMove {
   FileFault file = FileFault::kNone;
   DiscoveryFault newAddress = DiscoveryFault::kNone;
   /// Discovery goes on at the old address for so long after SIGHUP, and learns nothing new.
   double oldAddressForMs = 0;
+  /// The file is complete and new so long after SIGHUP, or when the fault at the new address ends.
+  double fileFaultForMs = 0;
+};
+
+/// Limits of the discovery behind all agents.
+struct DiscoveryLoad {
+  double callsPerS = 0;  ///< that it can serve; 0: any number
+  bool refuses = false;  ///< answers what is above that with 503; false: late, in their order
 };
 
 struct PlannedFault {
@@ -62,19 +90,21 @@
   int target = 0;  ///< number of the router or instance
   double atMs = 0;
   double forMs = 0;
-  std::string rule;    ///< of kSystemCalls: call, fault and share as the library's plan has them
-  DiscoveryMove move;  ///< of kMoveDiscovery
+  std::string rule = {};  ///< of kSystemCalls: call, fault and share as the library's plan has them
+  DiscoveryMove move = {};      ///< of kMoveDiscovery
+  DiscoveryOutage outage = {};  ///< of kDiscoveryDown
 };
 
 struct Plan {
   std::uint64_t seed = 0;
   int routers = 24, instances = 30, clients = 4;  ///< clients of each router
-  double lengthMs = 12'000;
+  double lengthMs = 14'000;
   double maxDeadlineMs = 3'000;  ///< of the settings' classes
   bool reservationsByArrival =
       false;                     ///< a reservation is granted where the bytes of its prefill came
   int idleClients = 0;           ///< that connect to one router and send nothing
   bool drainingRejects = false;  ///< draining instances reject attempts and reservations
+  DiscoveryLoad discoveryLoad = {};  ///< not part of the text of a plan
   std::vector<PlannedFault> faults;
 };
 
--- a/soak/router_process.cpp
+++ b/soak/router_process.cpp
@@ -33,8 +33,13 @@
 }
 
 nlohmann::json RouterProcess::configuration() const {
-  return {{"name", "n0"}, {"listen", textOf(listen_)},    {"discovery", textOf(discovery_)},
-          {"seed", "7"},  {"limits", {{"sockets", 256}}}, {"settings", settings_}};
+  return {{"name", "n0"},
+          {"listen", textOf(listen_)},
+          {"seed", std::to_string(listen_.port())},
+          {"discovery", textOf(discovery_)},
+          {"settings", settings_},
+          {"limits", {{"sockets", 256}}},
+          {"known", knownList_}};
 }
 
 // Other processes see the old file or the new one, whole.
@@ -69,7 +74,8 @@
   }
 }
 
-void RouterProcess::start() {
+void RouterProcess::start(nlohmann::json knownList) {
+  knownList_ = std::move(knownList);
   completeConfiguration();
   std::vector<std::string> variables{"GW_CONFIG=" + configurationPath(), "TMPDIR=" + folder_,
                                      "ASAN_OPTIONS=verify_asan_link_order=0"};
--- a/soak/router_process.h
+++ b/soak/router_process.h
@@ -37,7 +37,8 @@
   void completeConfiguration() const;
   /// Lines of the library's plan, for the processes that start from now on.
   void faults(std::vector<std::string> rules) { rules_ = std::move(rules); }
-  void start();
+  /// knownList: the endpoint list that the configuration holds, as the router last had it.
+  void start(nlohmann::json knownList);
   void signal(int number) const;
   bool running() const { return process_ > 0; }
   /// The exit status of the process once it has ended; a signal's number is negative.
@@ -54,7 +55,7 @@
   Programs programs_;
   std::string folder_;
   net::Endpoint listen_, discovery_;
-  nlohmann::json settings_;
+  nlohmann::json settings_, knownList_;
   std::vector<std::string> rules_;
   pid_t process_ = -1;
 };
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -55,6 +55,7 @@
         folder_(std::move(folder)),
         loop_(io_, clock_, timers_),
         environment_{io_, clock_, timers_, counters_, requestLog_, std::mt19937_64(plan_.seed + 1)},
+        discoveryCapacity_(plan_.discoveryLoad),
         heldState_(kHeldLimitMs + kMachineSlackMs + (stops() ? kStopMs : 0)),
         startedMs_(clock_.nowMs()) {
     addInstances();
@@ -72,6 +73,8 @@
     finish();
     Outcome outcome{requestLog_.findViolations(kDrainGraceMs), requestLog_.size(),
                     requestLog_.served(), requestLog_.undecided(), heldState_.maxHeldMs()};
+    for (const auto& node : nodes_)
+      outcome.discovery.push_back(discoveryUseOf(*node));
     return outcome;
   }
 
@@ -81,6 +84,8 @@
     std::vector<std::unique_ptr<Agent>> formerAgents;
     std::uint64_t firstRevision = kFirstRevision;  // of the list at the agent's address
     double listKnownFromMs = 0;  // earlier, the list at that address does not count as told
+    json lastMembers;            // of the list that the router was last told
+    int lastChanges = 0;         // of the list by then
     std::unique_ptr<RouterProcess> process;
     std::vector<std::unique_ptr<Client>> clients;
     std::map<int, double> drainNotifiedMs;  // by instance
@@ -125,10 +130,11 @@
       const std::string own = folder_ + "/" + std::to_string(i);
       std::filesystem::create_directories(own);
       auto node = std::make_unique<Node>();
-      node->agent = std::make_unique<Agent>(environment_, nextAddress());
+      node->agent = std::make_unique<Agent>(environment_, discoveryCapacity_, nextAddress());
       tellList(*node);
-      node->process = std::make_unique<RouterProcess>(
-          programs_, own, nextAddress(), node->agent->address(), settings(plan_.maxDeadlineMs));
+      node->process =
+          std::make_unique<RouterProcess>(programs_, own, nextAddress(), node->agent->address(),
+                                          settings(plan_.maxDeadlineMs, plan_.routers));
       node->process->faults(rulesOf(i));
       for (int k = 0; k < plan_.clients; ++k)
         node->clients.push_back(std::make_unique<Client>(
@@ -174,13 +180,13 @@
             {"up_since_ms", 0}};
   }
 
-  std::uint64_t revisionOf(const Node& node) const {
-    return node.firstRevision + static_cast<std::uint64_t>(changes_);
+  static json listOf(const Node& node, int changes, bool complete, const json& members) {
+    const std::uint64_t revision = node.firstRevision + static_cast<std::uint64_t>(changes);
+    return {{"revision", revision}, {"complete", complete}, {"members", members}};
   }
 
   std::string lineOf(const Node& node, bool complete, const json& members) const {
-    const json list{{"revision", revisionOf(node)}, {"complete", complete}, {"members", members}};
-    return list.dump() + "\n";
+    return listOf(node, changes_, complete, members).dump() + "\n";
   }
 
   // changed: the instance of which the router's open watches are told.
@@ -188,7 +194,12 @@
     json members = json::array();
     for (int i = 0; i < plan_.instances; ++i)
       members.push_back(memberOf(i));
-    ListText text{revisionOf(node), lineOf(node, true, members), ""};
+    if (node.agent->downUntilMs() <= clock_.nowMs()) {
+      node.lastMembers = members;
+      node.lastChanges = changes_;
+    }
+    ListText text{node.firstRevision + static_cast<std::uint64_t>(changes_),
+                  lineOf(node, true, members), ""};
     if (changed)
       text.changes = lineOf(node, false, json::array({memberOf(*changed)}));
     node.agent->list(std::move(text));
@@ -208,7 +219,7 @@
   }
 
   void startProcess(Node& node) {
-    node.process->start();
+    node.process->start(listOf(node, node.lastChanges, true, node.lastMembers));
     node.readyByMs = clock_.nowMs() + kReadyMs;
     node.endsByMs.reset();
     node.expectedEnd = false;
@@ -271,7 +282,7 @@
       case FaultKind::kReject:
         return at.behave(Behaviour::kRejects, fault.forMs);
       case FaultKind::kDiscoveryDown:
-        return node.agent->down(fault.forMs);
+        return node.agent->goDown(fault.outage, fault.forMs);
       case FaultKind::kReadNothing:
         return behaveAlike(fault, Behaviour::kReadsNothing);
       case FaultKind::kLoseAnswers:
@@ -291,16 +302,15 @@
     const DiscoveryMove& move = fault.move;
     Agent& former = *node.formerAgents.emplace_back(std::move(node.agent));
     environment_.after(move.oldAddressForMs, [&former] { former.retire(); });
-    node.agent = std::make_unique<Agent>(environment_, nextAddress(), move.newAddress);
+    node.agent = std::make_unique<Agent>(environment_, discoveryCapacity_, nextAddress());
+    if (move.newAddress != DiscoveryFault::kNone)
+      node.agent->goDown({.fault = move.newAddress}, fault.forMs);
     node.firstRevision -= kRevisionsOfAnAddress;
     tellList(node);
     node.listKnownFromMs = clock_.nowMs() + kMoveAllowanceMs;
     node.process->moveDiscovery(node.agent->address(), move.file);
     node.process->signal(SIGHUP);
-    environment_.after(fault.forMs, [&node, &agent = *node.agent] {
-      agent.recover();
-      node.process->completeConfiguration();
-    });
+    environment_.after(move.fileFaultForMs, [&node] { node.process->completeConfiguration(); });
   }
 
   // One to three instances of the role that the target has.
@@ -443,6 +453,15 @@
         requestLog_.addViolation("invariant", line);
   }
 
+  // Processes log their counters as they end.
+  static DiscoveryUse discoveryUseOf(const Node& node) {
+    DiscoveryUse use = node.agent->use();
+    const std::string counter = "counter discovery.watches ";
+    for (const std::string& line : node.process->logged(counter))
+      use.routerCalls += std::stoul(line.substr(line.find(counter) + counter.size()));
+    return use;
+  }
+
   template <typename Met>
   void runUntil(double atMs, const Met& met) {
     while (clock_.nowMs() < atMs && !met())
@@ -461,6 +480,7 @@
   net::Loop loop_;
   RequestLog requestLog_;
   Environment environment_;
+  DiscoveryCapacity discoveryCapacity_;
   HeldStateMonitor heldState_;
   double startedMs_;
   std::uint16_t port_ = kFirstPort;
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "discovery_agent.h"
 #include "plan.h"
 #include "request_log.h"
 #include "router_process.h"
@@ -16,6 +17,8 @@
   std::vector<Violation> violations;
   std::size_t requests = 0, served = 0, undecided = 0;
   double maxHeldMs = 0;  ///< that anything was held with no attempt out
+  /// What each router's discovery saw at its last address, by the number of the router.
+  std::vector<DiscoveryUse> discovery = {};
 };
 
 /// Plays a plan in an empty folder, in which logs are left.
--- a/soak/settings.cpp
+++ b/soak/settings.cpp
@@ -8,9 +8,9 @@
 
 }  // namespace
 
-nlohmann::json settings(double maxDeadlineMs) {
+nlohmann::json settings(double maxDeadlineMs, int routers) {
   nlohmann::json settings = nlohmann::json::parse(R"({
-    "me":0,"peersTotal":24,"tickMs":2.0,"discovery":"push","zones":["z"],"myZone":"z","countedBy":"work",
+    "me":0,"peersTotal":1,"tickMs":2.0,"discovery":"push","zones":["z"],"myZone":"z","countedBy":"work",
     "kinds":["reader","writer","mixed"],
     "familyInfo":{"dutyByKind":["read","write","both"],"memoryTokens":[200000,100000,150000],"ahead":true,
       "releaseMs":300.0,"resume":false,"writersRead":true,"tokenAimMs":[70.0,50.0],
@@ -26,6 +26,7 @@
     "limits":{"cancel":true,"peers":false,"probing":false,"secondCopies":false,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfterMs":2000.0,"dialTimeoutMs":250.0,"idleCloseMs":30000.0},
     "report":{"how":"off"}})");
+  settings["peersTotal"] = routers;
   for (nlohmann::json& grade : settings["grades"]) {
     grade["hardLimitMs"] = maxDeadlineMs;
     grade["goalTimeMs"] = maxDeadlineMs / kDeadlineOfAim;
--- a/soak/settings.h
+++ b/soak/settings.h
@@ -14,6 +14,7 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
-nlohmann::json settings(double maxDeadlineMs);
+/// maxDeadlineMs: of the classes; routers: that share the instances.
+nlohmann::json settings(double maxDeadlineMs, int routers);
 
 }  // namespace inference_router::soak
--- a/tests/discovery_move_processes_test.cpp
+++ b/tests/discovery_move_processes_test.cpp
@@ -30,7 +30,7 @@
   move.target = kMovedRouter;
   move.atMs = kMoveMs;
   move.forMs = kFaultDurationMs;
-  move.move = {file, newAddress, kOldAddressForMs};
+  move.move = {file, newAddress, kOldAddressForMs, kFaultDurationMs};
   plan.faults.push_back(move);
   for (const int instance : {kPrefill, kDecode}) {
     PlannedFault drain;
