Try a configuration that cannot be used again within 0.4 s

Callers: a file that names discovery's new address and is completed late was read up to 1 s later, which is the whole grace period of a drain that discovery tells there by then. Cause: the delay between attempts grew to 1 s, as those between calls of discovery did. ReloadRetry.RepeatsAFailedReloadUntilItSucceeds allows 0.41 s now; with the delay of 1 s it fails at a fault of 60 s. The file is read 2.5 times a second at most while it is unusable.

--- a/src/app/reload_retry.cpp
+++ b/src/app/reload_retry.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr double kFirstRetryMs = 100, kMaxRetryMs = 1'000;
+// A file that names a new address of discovery is used well within the grace period of a drain.
+constexpr double kFirstRetryMs = 100, kMaxRetryMs = 400;
 // What discovery tells at a new address counts as known 4 s after SIGHUP.
 constexpr double kWatchFileMs = 4'000, kWatchFileIntervalMs = 200;
 constexpr double kLogIntervalMs = 10'000;  // of a pending reload whose reason stays the same
