Test that instances and the collector of metrics are used soon after a long outage

Of the loops that wait for something to return, these two had no test at the end of a long outage: ejections last 8 s at most, an export that hangs gives way to the next.

--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -677,5 +677,32 @@
   EXPECT_EQ(metrics[0]["sum"]["isMonotonic"], true);
 }
 
+// An export that hangs is given up for the next one, so that a collector hears of all sums within
+// an interval of its return.
+TEST(Telemetry, ExportsWithinAnIntervalOfTheCollectorsReturn) {
+  constexpr double kIntervalMs = 1'000;
+  NetworkFixture fixture;
+  StandInInstance collector(fixture.io, fixture.clock, fixture.timers);
+  bool answers = false;
+  collector.script = [&](StandInInstance&, StandInInstance::ReceivedRequest& request) {
+    if (answers)
+      request.connection->answer(200, {}, "{}");
+  };
+  app::OtlpExporter exporter(fixture.io, fixture.clock, fixture.timers, fixture.counters,
+                             collector.address(), kIntervalMs);
+  const auto passInterval = [&] {
+    fixture.pass(kIntervalMs);
+    fixture.io.restart();
+    fixture.io.run_for(std::chrono::milliseconds(2));
+  };
+  for (int i = 0; i < 100; ++i)
+    passInterval();
+  EXPECT_EQ(fixture.counters["otlp.exported"], 0U);
+  EXPECT_GE(collector.received.size(), 90U);
+  answers = true;
+  passInterval();
+  EXPECT_TRUE(fixture.until([&] { return fixture.counters["otlp.exported"] == 1; }));
+}
+
 }  // namespace
 }  // namespace inference_router
--- a/tests/router_health_test.cpp
+++ b/tests/router_health_test.cpp
@@ -188,6 +188,31 @@
   EXPECT_EQ(router.advance(1200ms).arrive("later", "p").sentTo(), affinityInstance);
 }
 
+// The ejection lasts 8 s at most, however long the instance could not be reached.
+TEST(OutlierDetection, TriesAnInstanceWithin8SecondsOfItsReturnFromALongOutage) {
+  constexpr int kOutageTenths = 600, kLimitTenths = 81;
+  RouterHarness router;
+  router.updateEndpoints(twoCells());
+  const std::string affinityInstance = router.arrive("x", "p").sentTo();
+  router.endAttempt("x", affinityInstance, AttemptOutcome::kConnectFailed);
+  for (int i = 0; i < kOutageTenths; ++i) {
+    const std::string id = numbered("out", i);
+    std::string at = router.advance(100ms).arrive(id, "p").sentTo();
+    if (at == affinityInstance)
+      at = router.endAttempt(id, at, AttemptOutcome::kConnectFailed).sentTo();
+    serveFrom(router, id, at);
+  }
+  int tenths = 0;
+  for (; tenths < kLimitTenths; ++tenths) {
+    const std::string id = numbered("back", tenths);
+    const std::string at = router.advance(100ms).arrive(id, "p").sentTo();
+    if (at == affinityInstance)
+      break;
+    serveFrom(router, id, at);
+  }
+  EXPECT_LT(tenths, kLimitTenths);
+}
+
 // Instances that fail fast get most of the requests; their failure rate must not become the
 // reference for the other instances.
 TEST(OutlierDetection, EjectsTwoOfThreeInstancesThatMostlyFail) {
