--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -69,8 +69,6 @@
 constexpr int kLatestMoveMs = 1'500;
 constexpr int kMoveTwiceEvery = 3;  // one seed in so many moves a router again soon
 constexpr int kLeastPauseMs = 50, kMaxPauseMs = 900;
-// After SIGHUP the list at the new address counts as known from here on.
-constexpr double kMoveAllowanceMs = 4'000;
 constexpr int kLatestDrainAfterMoveMs = 1'500;
 
 // Goes through all combinations of faults as the number rises.
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -70,6 +70,9 @@
   OpenWatches openWatches = OpenWatches::kClosed;
 };
 
+/// After SIGHUP the list at discovery's new address counts as told from here on.
+inline constexpr double kMoveAllowanceMs = 4'000;
+
 struct DiscoveryMove {
   FileFault file = FileFault::kNone;
   DiscoveryFault newAddress = DiscoveryFault::kNone;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -42,8 +42,6 @@
 constexpr std::array kFurtherSignals{SIGHUP, SIGTERM, SIGINT};  // to a process that ends
 constexpr double kFurtherSignalMs = 150;
 constexpr std::uint16_t kFirstPort = 21'000;
-// After SIGHUP the list at discovery's new address counts as told from here on.
-constexpr double kMoveAllowanceMs = 4'000;
 // Discovery numbers its revisions at each address on its own, at later addresses lower.
 constexpr std::uint64_t kFirstRevision = 1'000, kRevisionsOfAnAddress = 100;
 
