--- a/soak/settings.h
+++ b/soak/settings.h
@@ -10,9 +10,7 @@
 
 inline constexpr double kDrainGraceMs = 1'000;
 
-inline std::string textOf(const net::Endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
+using net::textOf;
 
 /// maxDeadlineMs: of the classes; routers: that share the instances.
 nlohmann::json settings(double maxDeadlineMs, int routers);
--- a/src/app/admin_client.cpp
+++ b/src/app/admin_client.cpp
@@ -64,8 +64,7 @@
   AdminCall call(io, line);
   call.start(endpoint);
   io.run_for(std::chrono::milliseconds(static_cast<long>(timeoutMs)));
-  const std::string address =
-      endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+  const std::string address = net::textOf(endpoint);
   if (call.error())
     throw std::runtime_error("the door at " + address +
                              " cannot be used: " + call.error().message());
--- a/src/app/discovery_monitor.cpp
+++ b/src/app/discovery_monitor.cpp
@@ -10,10 +10,6 @@
 // Between two lines on a list that stays unconfirmed for one reason.
 constexpr double kLogIntervalMs = 5'000;
 
-std::string addressOf(const net::Endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 // Nothing before the first call.
 std::string callsOf(const frontend::DiscoveryStatus& status) {
   if (status.calls == 0)
@@ -46,8 +42,8 @@
   loggedMs_ = nowMs;
   if (reason_)
     return spdlog::warn("{}", describe(status, nowMs));
-  spdlog::info("the endpoint list is confirmed by {} after {:.0f} ms{}", addressOf(status.address),
-               nowMs - unconfirmedSinceMs_, callsOf(status));
+  spdlog::info("the endpoint list is confirmed by {} after {:.0f} ms{}",
+               net::textOf(status.address), nowMs - unconfirmedSinceMs_, callsOf(status));
 }
 
 // discovery.list_confirmed is one ahead of discovery.list_lost while the list is confirmed.
@@ -68,7 +64,7 @@
 }
 
 std::string describe(const frontend::DiscoveryStatus& status, double nowMs) {
-  const std::string address = addressOf(status.address);
+  const std::string address = net::textOf(status.address);
   const double forMs = nowMs - status.list.sinceMs();
   if (status.list.confirmed())
     return fmt::format("the endpoint list is confirmed by {} since {:.0f} ms", address, forMs);
--- a/src/app/handed_stream.cpp
+++ b/src/app/handed_stream.cpp
@@ -30,8 +30,7 @@
                     {"shared", arrival.prefixTokens},
                     {"most", arrival.maxTokens},
                     {"engine", binary(stream.instance.value)},
-                    {"address", stream.address.address().to_string() + ":" +
-                                    std::to_string(stream.address.port())},
+                    {"address", net::textOf(stream.address)},
                     {"unread", binary(stream.instanceTransfer.call.unread)},
                     {"chunk", stream.instanceTransfer.call.chunkRemaining},
                     {"box_keeps", stream.instanceTransfer.call.keepAlive},
--- a/src/app/otlp.cpp
+++ b/src/app/otlp.cpp
@@ -85,11 +85,9 @@
     call_->abandon();
   const auto body = std::make_shared<const std::string>(
       otlpMetrics(counters_, "dahliastall", startUnixMs_, core::unixNowMs()));
-  const std::string host =
-      collector_.address().to_string() + ":" + std::to_string(collector_.port());
   call_ = pool_.call(collector_,
                      net::headText("POST /v1/metrics HTTP/1.1",
-                                   {{"Host", host},
+                                   {{"Host", net::textOf(collector_)},
                                     {"Content-Type", "application/json"},
                                     {"Content-Length", std::to_string(body->size())}}),
                      body, std::make_shared<Export>(counters_));
--- a/src/app/serve_platform.cpp
+++ b/src/app/serve_platform.cpp
@@ -155,8 +155,7 @@
   if (!reread.discoveryInFile || reread.discoveryInFile == discoveryInFile_)
     return;
   discoveryInFile_ = reread.discoveryInFile;
-  spdlog::info("discovery is at {}:{} now", discoveryInFile_->address().to_string(),
-               discoveryInFile_->port());
+  spdlog::info("discovery is at {} now", net::textOf(*discoveryInFile_));
   discovery_->watch(*discoveryInFile_);
 }
 
--- a/src/app/serving.cpp
+++ b/src/app/serving.cpp
@@ -64,8 +64,7 @@
 }
 
 void logListening(const std::string& name, const net::Listener& listener) {
-  spdlog::info("{} listens on {}:{}", name, listener.address().address().to_string(),
-               listener.address().port());
+  spdlog::info("{} listens on {}", name, net::textOf(listener.address()));
 }
 
 }  // namespace inference_router::app
--- a/src/coordination/etcd_client.cpp
+++ b/src/coordination/etcd_client.cpp
@@ -23,10 +23,6 @@
 constexpr std::size_t kMaxCalls = 64;
 constexpr unsigned kHttpOk = 200;
 
-std::string addressOf(const net::Endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 }  // namespace
 
 /// One call in progress. Owned by the connection pool; the client refers to it until the call ends.
@@ -144,7 +140,7 @@
 std::string EtcdClient::describe() const {
   std::string text;
   for (const net::Endpoint& endpoint : endpoints_)
-    text += (text.empty() ? "" : " ") + addressOf(endpoint);
+    text += (text.empty() ? "" : " ") + net::textOf(endpoint);
   return text;
 }
 
@@ -156,7 +152,7 @@
   const net::Endpoint& endpoint = endpoints_[endpointIndex_ % endpoints_.size()];
   const auto text = std::make_shared<const std::string>(body.dump());
   const std::string head = net::headText("POST " + path + " HTTP/1.1",
-                                         {{"Host", addressOf(endpoint)},
+                                         {{"Host", net::textOf(endpoint)},
                                           {"Content-Type", "application/json"},
                                           {"Content-Length", std::to_string(text->size())}});
   const auto exchange = std::make_shared<Exchange>(*this, std::move(callback));
--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -88,8 +88,8 @@
   makeRoomForCall();
   const std::uint64_t after = address_ == revisionAddress_ ? revision_ : 0;
   const std::string target = "/api/targets?watch=1&after=" + std::to_string(after);
-  const std::string host = address_.address().to_string() + ":" + std::to_string(address_.port());
-  const std::string head = net::headText("GET " + target + " HTTP/1.1", {{"Host", host}});
+  const std::string head =
+      net::headText("GET " + target + " HTTP/1.1", {{"Host", net::textOf(address_)}});
   const auto candidate = std::make_shared<DiscoveryWatch>(
       *this, clock_, timers_, WatchTarget{address_, /*needsList=*/after == 0});
   candidates_.push_back(candidate);
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -18,4 +18,8 @@
   throw AddressError(hostPort);
 }
 
+std::string textOf(const Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 }  // namespace inference_router::net
--- a/src/net/endpoint.h
+++ b/src/net/endpoint.h
@@ -19,4 +19,7 @@
 /// Parses "host:port" with a numeric host; throws AddressError.
 Endpoint parseEndpoint(const std::string& hostPort);
 
+/// "host:port", as in a Host header.
+std::string textOf(const Endpoint& endpoint);
+
 }  // namespace inference_router::net
--- a/src/upstream/http_instance_client.cpp
+++ b/src/upstream/http_instance_client.cpp
@@ -124,8 +124,7 @@
                                      const std::string& target,
                                      const InstanceEndpoint& endpoint,
                                      net::Fields fields) const {
-  fields.insert(fields.begin(), {"Host", endpoint.address.address().to_string() + ":" +
-                                             std::to_string(endpoint.address.port())});
+  fields.insert(fields.begin(), {"Host", net::textOf(endpoint.address)});
   fields.insert(fields.end(), protocol_.extraFields.begin(), protocol_.extraFields.end());
   return net::headText(method + " " + target + " HTTP/1.1", fields);
 }
--- a/tests/support/program.h
+++ b/tests/support/program.h
@@ -18,9 +18,7 @@
 
 namespace inference_router {
 
-inline std::string textOf(const net::Endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
+using net::textOf;
 
 // Returns an endpoint at a loopback address that only this test process uses. At 127.0.0.1 a port
 // that is free now may be taken by any other connection before the program binds it.
--- a/tests/support/router_fixture.h
+++ b/tests/support/router_fixture.h
@@ -73,9 +73,7 @@
         ADD_FAILURE() << name << " " << value;
   }
 
-  static std::string text(const net::Endpoint& at) {
-    return at.address().to_string() + ":" + std::to_string(at.port());
-  }
+  static std::string text(const net::Endpoint& at) { return net::textOf(at); }
   bool until(const std::function<bool()>& condition) {
     return inference_router::until(io, condition);
   }
