--- a/soak/discovery_agent.cpp
+++ b/soak/discovery_agent.cpp
@@ -26,8 +26,8 @@
 
 }  // namespace
 
-Agent::Agent(Environment& environment, DiscoveryCapacity& capacity, const net::Endpoint& address)
-    : environment_(environment), capacity_(capacity), address_(address) {
+Agent::Agent(Environment& environment, DiscoveryCapacity& capacity, net::Endpoint address)
+    : environment_(environment), capacity_(capacity), address_(std::move(address)) {
   listen();
   beat();
 }
--- a/soak/discovery_agent.h
+++ b/soak/discovery_agent.h
@@ -40,7 +40,7 @@
 class Agent final : public net::RequestHandler {
  public:
   /// capacity: of the discovery behind all agents; has to outlive this one.
-  Agent(Environment& environment, DiscoveryCapacity& capacity, const net::Endpoint& address);
+  Agent(Environment& environment, DiscoveryCapacity& capacity, net::Endpoint address);
   void request(const std::shared_ptr<net::ClientConnection>& connection,
                net::HttpRequest&& request,
                double arrivedMs) override;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -82,7 +82,7 @@
     std::vector<std::unique_ptr<Agent>> formerAgents;
     std::uint64_t firstRevision = kFirstRevision;  // of the list at the agent's address
     double listKnownFromMs = 0;  // earlier, the list at that address does not count as told
-    json lastMembers;            // of the list that the router was last told
+    std::string lastMembers;     // of the list that the router was last told, as JSON
     int lastChanges = 0;         // of the list by then
     std::unique_ptr<RouterProcess> process;
     std::vector<std::unique_ptr<Client>> clients;
@@ -193,7 +193,7 @@
     for (int i = 0; i < plan_.instances; ++i)
       members.push_back(memberOf(i));
     if (node.agent->downUntilMs() <= clock_.nowMs()) {
-      node.lastMembers = members;
+      node.lastMembers = members.dump();
       node.lastChanges = changes_;
     }
     ListText text{node.firstRevision + static_cast<std::uint64_t>(changes_),
@@ -217,7 +217,7 @@
   }
 
   void startProcess(Node& node) {
-    node.process->start(listOf(node, node.lastChanges, true, node.lastMembers));
+    node.process->start(listOf(node, node.lastChanges, true, json::parse(node.lastMembers)));
     node.readyByMs = clock_.nowMs() + kReadyMs;
     node.endsByMs.reset();
     node.expectedEnd = false;
