Let an overloaded discovery recover from a small fleet's calls

A fleet of up to 22 called every 0.4 s for good. After 40 errors in a row, some 15 s, delays grow to 1.8 s in the mean in any fleet. Shorter outages with error responses are still noticed within the grace period of a drain. FleetOfAnySizeLetsAnOverloadedDiscoveryRecover fails without it: 60 calls a second for good.

--- a/src/fleet/discovery_backoff.h
+++ b/src/fleet/discovery_backoff.h
@@ -11,8 +11,9 @@
 /// The rest of the grace period is for that call, and for a process that is held up.
 ///
 /// An error response comes from a discovery that can be reached and is overloaded; a fleet that
-/// calls at this pace would keep it down. Delays after errors grow further in a large fleet. A
-/// change counts as known kDeliveryLimitMs after it could be fetched:
+/// calls at this pace would keep it down. Delays after errors grow further in a large fleet, and in
+/// any fleet after kDenseErrors in a row. A change counts as known kDeliveryLimitMs after it could
+/// be fetched:
 ///
 ///   errors while discovery recovers:
 ///       longest delay after an error + kAnswerTimeoutMs
@@ -40,6 +41,8 @@
   static constexpr double kAnswerTimeoutMs = 3'000;
   static constexpr double kJitterShare = 0.5;       ///< of the mean delay, in both directions
   static constexpr double kMaxErrorMeanMs = 1'800;  ///< upper bound of mean delays after errors
+  /// Some 15 s at a drain grace period of 1 s, for outages with error responses.
+  static constexpr int kDenseErrors = 40;
   /// Of the drain grace period: the longest time between the starts of two calls.
   static constexpr double kGapShareOfDrainGrace = 0.6;
   static constexpr double kLeastMaxGapMs = 150, kLargestMaxGapMs = 1'800;
@@ -72,9 +75,15 @@
   /// The delay after a call that has failed without a response; doubles its mean.
   double nextRetryDelayMs() { return nextDelayMs(retryMeanMs_, maxRetryMeanMs_); }
   /// The delay after an error response; doubles its mean.
-  double nextErrorDelayMs() { return nextDelayMs(errorMeanMs_, maxErrorMeanMs_); }
+  double nextErrorDelayMs() {
+    ++errors_;
+    return nextDelayMs(errorMeanMs_, errors_ <= kDenseErrors ? maxErrorMeanMs_ : kMaxErrorMeanMs);
+  }
   /// Returns to the initial delays; called after a success.
-  void reset() { retryMeanMs_ = errorMeanMs_ = initialMs_; }
+  void reset() {
+    retryMeanMs_ = errorMeanMs_ = initialMs_;
+    errors_ = 0;
+  }
 
  private:
   // The initial mean delay: kInitialPerNodeMs for each node, at least kInitialMs.
@@ -93,6 +102,7 @@
 
   double maxGapMs_, maxRetryMeanMs_, initialMs_, maxErrorMeanMs_;
   double retryMeanMs_ = 0, errorMeanMs_ = 0;
+  int errors_ = 0;
   std::mt19937_64 random_;
 };
 
