Call a slow discovery of a large fleet less often, and wait longer for its answer

Newer calls beside those that waited filled its queue, and those that had waited 3 s were given up. Beside a call that has been sent, the next one begins 18 ms a node later now, 0.6 to 1.8 s at a grace period of 1 s, and the oldest call waits for 5 s.

--- a/src/fleet/discovery_backoff.h
+++ b/src/fleet/discovery_backoff.h
@@ -16,10 +16,13 @@
 /// be fetched:
 ///
 ///   errors while discovery recovers:
-///       longest delay after an error + kAnswerTimeoutMs
+///       longest delay after an error + the longest gap, and the next call itself
 ///   the watch stops responding as a change occurs, also in the middle of a line:
 ///       kWatchTimeoutMs + maxGapMs(), and the next call itself
 ///
+/// A call that has been sent and waits is a sign of a discovery that is slow, whose queue newer
+/// calls make longer: beside one, a large fleet calls less often.
+///
 /// All delays are jittered. Data on the watch resets them.
 #pragma once
 
@@ -38,7 +41,7 @@
   static constexpr double kConnectTimeoutMs = 500;
   /// From the start of a call to its first byte. Calls that begin meanwhile run beside it: a
   /// discovery that is slow answers the one that has waited longest first.
-  static constexpr double kAnswerTimeoutMs = 3'000;
+  static constexpr double kAnswerTimeoutMs = 5'000;
   static constexpr double kJitterShare = 0.5;       ///< of the mean delay, in both directions
   static constexpr double kMaxErrorMeanMs = 1'800;  ///< upper bound of mean delays after errors
   /// Some 15 s at a drain grace period of 1 s, for outages with error responses.
@@ -50,7 +53,7 @@
   static constexpr double kMinGapShare = 2.0 / 3;
 
   static constexpr double kWorstSilentWatchMs = kWatchTimeoutMs + kLargestMaxGapMs;
-  static constexpr double kWorstErrorMs = kMaxErrorMeanMs * (1 + kJitterShare) + kAnswerTimeoutMs;
+  static constexpr double kWorstErrorMs = kMaxErrorMeanMs * (1 + kJitterShare) + kLargestMaxGapMs;
   static_assert(kWorstSilentWatchMs <= kDeliveryLimitMs - kMarginMs);
   static_assert(kWorstErrorMs <= kDeliveryLimitMs - kMarginMs);
 
@@ -62,7 +65,8 @@
         initialMs_(std::clamp(nodes * kInitialPerNodeMs,
                               std::min(kInitialMs, maxRetryMeanMs_),
                               maxRetryMeanMs_)),
-        maxErrorMeanMs_(std::clamp(nodes * kErrorPerNodeMs, maxRetryMeanMs_, kMaxErrorMeanMs)),
+        maxErrorMeanMs_(std::clamp(nodes * kPerNodeMs, maxRetryMeanMs_, kMaxErrorMeanMs)),
+        maxWaitingGapMs_(std::clamp(nodes * kPerNodeMs, maxGapMs_, kLargestMaxGapMs)),
         random_(seed) {
     reset();
   }
@@ -72,6 +76,10 @@
 
   /// From the start of a call to that of the next, which runs beside it.
   double nextGapMs() { return drawn(maxGapMs_ * kMinGapShare, maxGapMs_); }
+  /// The same once the call has been sent and waits for its response.
+  double nextGapBesideWaitingMs() {
+    return drawn(maxWaitingGapMs_ * kMinGapShare, maxWaitingGapMs_);
+  }
   /// The delay after a call that has failed without a response; doubles its mean.
   double nextRetryDelayMs() { return nextDelayMs(retryMeanMs_, maxRetryMeanMs_); }
   /// The delay after an error response; doubles its mean.
@@ -88,8 +96,8 @@
  private:
   // The initial mean delay: kInitialPerNodeMs for each node, at least kInitialMs.
   static constexpr double kInitialMs = 100, kInitialPerNodeMs = 5;
-  // Calls of the whole fleet after errors come at most this far apart in the mean.
-  static constexpr double kErrorPerNodeMs = 18;
+  // Between two calls of the whole fleet after errors, or beside calls that wait.
+  static constexpr double kPerNodeMs = 18;
 
   double drawn(double minMs, double maxMs) {
     return std::uniform_real_distribution<>(minMs, maxMs)(random_);
@@ -100,7 +108,7 @@
     return delayMs;
   }
 
-  double maxGapMs_, maxRetryMeanMs_, initialMs_, maxErrorMeanMs_;
+  double maxGapMs_, maxRetryMeanMs_, initialMs_, maxErrorMeanMs_, maxWaitingGapMs_;
   double retryMeanMs_ = 0, errorMeanMs_ = 0;
   int errors_ = 0;
   std::mt19937_64 random_;
--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -145,6 +145,10 @@
   backoff_.reset();
 }
 
+void Discovery::onSent(const DiscoveryWatch&) {
+  scheduleCall(backoff_.nextGapBesideWaitingMs());
+}
+
 void Discovery::onAlive(const DiscoveryWatch& watch) {
   lastAliveMs_ = clock_.nowMs();
   if (&watch == watch_.get()) {
--- a/src/frontend/platform/discovery.h
+++ b/src/frontend/platform/discovery.h
@@ -77,6 +77,7 @@
   DocumentKind onDocument(std::string_view text) override;
 
  private:
+  void onSent(const DiscoveryWatch& watch) override;
   void onAlive(const DiscoveryWatch& watch) override;
   bool onSilent(const DiscoveryWatch& watch) override;
   void onEnded(const DiscoveryWatch& watch, WatchEnd end) override;
--- a/src/frontend/platform/discovery_watch.h
+++ b/src/frontend/platform/discovery_watch.h
@@ -41,6 +41,8 @@
 class DiscoveryWatchOwner {
  public:
   virtual ~DiscoveryWatchOwner() = default;
+  /// The request was sent; the response is awaited.
+  virtual void onSent(const DiscoveryWatch& watch) = 0;
   /// A document was received. A malformed one ends the watch.
   virtual DocumentKind onDocument(std::string_view text) = 0;
   /// The document was accepted, and the watch has sent a list if it has to.
@@ -78,6 +80,7 @@
   void close();
   const net::Endpoint& address() const { return address_; }
 
+  void written() override { owner_.onSent(*this); }
   void head(const net::ResponseHead& head) override;
   bool body(std::string_view bytes) override;
   void done() override { end(accepted_ ? WatchEnd::kFinished : WatchEnd::kErrorStatus); }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -120,8 +120,8 @@
 }
 
 // No delay may reach the grace period of a drain, of which a router may be held up for 0.15 s,
-// however long an outage lasts and whatever the calls come to, but for errors in a fleet of more
-// than 15 or for long.
+// however long an outage lasts and whatever the calls come to, but for errors and calls that wait
+// in a fleet of more than 15, and for long errors.
 TEST(DiscoveryBackoff, NextCallBeginsWithinTheDrainGracePeriod) {
   for (const double drainGraceMs : {700.0, 1'000.0, 2'000.0})
     for (const int nodes : {1, 3, 15, 300, 900}) {
@@ -130,8 +130,9 @@
       for (int i = 0; i < 1'000; ++i) {
         EXPECT_LE(backoff.nextGapMs(), backoff.maxGapMs());
         EXPECT_LE(backoff.nextRetryDelayMs(), backoff.maxGapMs());
+        EXPECT_LE(backoff.nextGapBesideWaitingMs(), nodes <= 15 ? backoff.maxGapMs() : 1'800);
         const double errorDelayMs = backoff.nextErrorDelayMs();
-        EXPECT_LE(errorDelayMs + DiscoveryBackoff::kAnswerTimeoutMs,
+        EXPECT_LE(errorDelayMs + backoff.maxGapMs(),
                   DiscoveryBackoff::kDeliveryLimitMs - DiscoveryBackoff::kMarginMs);
         if (nodes <= 15 && i < DiscoveryBackoff::kDenseErrors) {
           EXPECT_LE(errorDelayMs, drainGraceMs - 150);
