Slow any fleet down after errors that follow calls without a response

The whole fleet calls as discovery returns; errors then tell of an overload, while errors from the first call on tell of an outage.

--- a/src/fleet/discovery_backoff.h
+++ b/src/fleet/discovery_backoff.h
@@ -12,8 +12,8 @@
 ///
 /// An error response comes from a discovery that can be reached and is overloaded; a fleet that
 /// calls at this pace would keep it down. Delays after errors grow further in a large fleet, and in
-/// any fleet after kDenseErrors in a row. A change counts as known kDeliveryLimitMs after it could
-/// be fetched:
+/// any fleet after kDenseErrors in a row or after calls without a response: the whole fleet calls
+/// as discovery returns. A change counts as known kDeliveryLimitMs after it could be fetched:
 ///
 ///   errors while discovery recovers:
 ///       longest delay after an error + the longest gap, and the next call itself
@@ -81,19 +81,24 @@
     return drawn(maxWaitingGapMs_ * kMinGapShare, maxWaitingGapMs_);
   }
   /// The delay after a call that has failed without a response; doubles its mean.
-  double nextRetryDelayMs() { return nextDelayMs(retryMeanMs_, maxRetryMeanMs_); }
+  double nextRetryDelayMs() {
+    ++retries_;
+    return nextDelayMs(retryMeanMs_, maxRetryMeanMs_);
+  }
   /// The delay after an error response; doubles its mean.
   double nextErrorDelayMs() {
     ++errors_;
-    return nextDelayMs(errorMeanMs_, errors_ <= kDenseErrors ? maxErrorMeanMs_ : kMaxErrorMeanMs);
+    const bool isDense = errors_ <= kDenseErrors && retries_ <= kRetriesOfALostWatch;
+    return nextDelayMs(errorMeanMs_, isDense ? maxErrorMeanMs_ : kMaxErrorMeanMs);
   }
   /// Returns to the initial delays; called after a success.
   void reset() {
     retryMeanMs_ = errorMeanMs_ = initialMs_;
-    errors_ = 0;
+    errors_ = retries_ = 0;
   }
 
  private:
+  static constexpr int kRetriesOfALostWatch = 1;
   // The initial mean delay: kInitialPerNodeMs for each node, at least kInitialMs.
   static constexpr double kInitialMs = 100, kInitialPerNodeMs = 5;
   // Between two calls of the whole fleet after errors, or beside calls that wait.
@@ -110,7 +115,7 @@
 
   double maxGapMs_, maxRetryMeanMs_, initialMs_, maxErrorMeanMs_, maxWaitingGapMs_;
   double retryMeanMs_ = 0, errorMeanMs_ = 0;
-  int errors_ = 0;
+  int errors_ = 0, retries_ = 0;
   std::mt19937_64 random_;
 };
 
