Soak: names of an outage's start in one place; mend a comment on the file's fault

They stood in main.cpp and in outage_report.cpp. An unknown name is told as such. The comment on fileFaultForMs named an end that the code does not have.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -106,12 +106,9 @@
 
 // Plays the outage in each way, or in the one that is given.
 void outage(const options::variables_map& given, const Session& session) {
-  const std::map<std::string, OutageStart> starts{{"move", OutageStart::kMove},
-                                                  {"loss", OutageStart::kLoss},
-                                                  {"silence", OutageStart::kSilence}};
   OutageOptions outage;
   outage.routers = given["conductors"].as<int>();
-  outage.start = starts.at(given["start"].as<std::string>());
+  outage.start = outageStartNamed(given["start"].as<std::string>());
   outage.forMs = given["outage-ms"].as<double>();
   outage.load = {given["discovery-calls"].as<double>(), given.count("discovery-refuses") != 0};
   const auto way = given["way"].as<std::string>();
--- a/soak/outage_report.cpp
+++ b/soak/outage_report.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <iostream>
 #include <numeric>
+#include <stdexcept>
+#include <string_view>
 #include <vector>
 
 #include "scenario.h"
@@ -15,7 +17,7 @@
 
 constexpr double kStartMs = 500, kAfterReturnMs = 8'000;
 constexpr int kInstances = 100;
-constexpr std::array kStartNames{"move", "loss", "silence"};
+constexpr std::array<std::string_view, 3> kStartNames{"move", "loss", "silence"};
 
 PlannedFault faultOf(const OutageOptions& options, int router) {
   PlannedFault fault;
@@ -85,6 +87,13 @@
 
 }  // namespace
 
+OutageStart outageStartNamed(const std::string& name) {
+  const auto* const found = std::find(kStartNames.begin(), kStartNames.end(), name);
+  if (found == kStartNames.end())
+    throw std::invalid_argument("no outage begins with " + name);
+  return static_cast<OutageStart>(found - kStartNames.begin());
+}
+
 void reportOutage(const OutageOptions& options,
                   const Programs& programs,
                   const std::string& folder) {
--- a/soak/outage_report.h
+++ b/soak/outage_report.h
@@ -2,6 +2,8 @@
 /// return, and the calls, bytes and connections until then.
 #pragma once
 
+#include <string>
+
 #include "plan.h"
 #include "router_process.h"
 
@@ -13,6 +15,8 @@
   kLoss,    ///< their watches end
   kSilence  ///< their watches fall silent
 };
+/// Throws std::invalid_argument for a name other than move, loss and silence.
+OutageStart outageStartNamed(const std::string& name);
 
 struct OutageOptions {
   int routers = 24;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -78,7 +78,7 @@
   DiscoveryFault newAddress = DiscoveryFault::kNone;
   /// Discovery goes on at the old address for so long after SIGHUP, and learns nothing new.
   double oldAddressForMs = 0;
-  /// The file is complete and new so long after SIGHUP, or when the fault at the new address ends.
+  /// The file is complete and new so long after SIGHUP.
   double fileFaultForMs = 0;
 };
 
