--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -14,8 +14,8 @@
 
 std::string badBody(bool trouble) {
   const std::string begin = R"(,"metadata":{"a":)", end = "}";
-  const std::size_t size = kBodyBytes - chatBody("member-questions", "Hi", false).size() -
-                           begin.size() - end.size();
+  const std::size_t size =
+      kBodyBytes - chatBody("member-questions", "Hi", false).size() - begin.size() - end.size();
   const std::string value = trouble ? std::string(size / 2, '[') + std::string(size / 2, ']')
                                     : "\"" + std::string(size - 2, 'x') + "\"";
   return chatBody("member-questions", "Hi", false, begin + value + end);
@@ -45,10 +45,10 @@
   for (int i = 1; i <= 4; ++i) {
     const bool change = i % 2 == 0;
     const std::string model = change ? "membership-changes" : "member-questions";
-    clients.push_back(std::make_unique<ChatClient>(
-        "client " + std::to_string(i) + " (" + model + ")", listen, record,
-        change ? "change-me-desk" : "change-me-app",
-        chatBody(model, "Question " + std::to_string(i), i > 2)));
+    clients.push_back(
+        std::make_unique<ChatClient>("client " + std::to_string(i) + " (" + model + ")", listen,
+                                     record, change ? "change-me-desk" : "change-me-app",
+                                     chatBody(model, "Question " + std::to_string(i), i > 2)));
   }
   sleepMs(600);
   ChatClient bad("bad client", listen, record, "change-me-app", badBody(setting.trouble));
--- a/review/chat_site.h
+++ b/review/chat_site.h
@@ -16,8 +16,11 @@
  public:
   using Events = std::function<std::vector<std::string>(const std::string& requestBody)>;
   Box(std::string name, Record& record, Events events, double intervalMs)
-      : name_(std::move(name)), record_(record), events_(std::move(events)),
-        intervalMs_(intervalMs), server_([this](int socket) { serve(socket); }) {}
+      : name_(std::move(name)),
+        record_(record),
+        events_(std::move(events)),
+        intervalMs_(intervalMs),
+        server_([this](int socket) { serve(socket); }) {}
   const Address& address() const { return server_.address; }
 
  private:
@@ -69,14 +72,18 @@
 }
 
 /// The operator's file: that of the project on other addresses, in the folder.
-inline std::string writeOperatorFile(const Setting& setting, const std::string& folder,
-                                     const Address& listen, const Address& door,
-                                     const Address& box1, const Address& box2) {
+inline std::string writeOperatorFile(const Setting& setting,
+                                     const std::string& folder,
+                                     const Address& listen,
+                                     const Address& door,
+                                     const Address& box1,
+                                     const Address& box2) {
   std::string text = readFile(setting.root + "/deploy/appliance.json");
   text = replaced(text, "127.0.0.1:8080", listen.text());
   text = replaced(text, "127.0.0.1:9100", door.text());
   text = replaced(text, "127.0.0.1:9001", box1.text());
   text = replaced(text, "127.0.0.1:9002", box2.text());
+  text = replaced(text, "\"10.", "\"127.");  // ranges of the admission rules: loopback alone
   const std::string path = folder + "/operator.json";
   std::ofstream(path) << text;
   return path;
@@ -88,7 +95,9 @@
          "\r\n\r\n" + body;
 }
 
-inline std::string chatBody(const std::string& model, const std::string& question, bool stream,
+inline std::string chatBody(const std::string& model,
+                            const std::string& question,
+                            bool stream,
                             const std::string& more = "") {
   return R"({"model":")" + model + R"(","max_tokens":64,"stream":)" + (stream ? "true" : "false") +
          R"(,"messages":[{"role":"user","content":")" + question + "\"}]" + more + "}";
@@ -97,9 +106,16 @@
 /// A client: one request on a connection of its own.
 class ChatClient {
  public:
-  ChatClient(std::string name, const Address& router, Record& record, std::string key,
+  ChatClient(std::string name,
+             const Address& router,
+             Record& record,
+             std::string key,
              std::string body)
-      : thread_([this, name = std::move(name), router, &record, key = std::move(key),
+      : thread_([this,
+                 name = std::move(name),
+                 router,
+                 &record,
+                 key = std::move(key),
                  body = std::move(body)] {
           const int socket = connectTo(router);
           if (socket < 0) {
@@ -125,8 +141,8 @@
 
  private:
   std::string tail() const {
-    std::string text = answer.body.substr(answer.body.size() - std::min<std::size_t>(
-                                                                   answer.body.size(), 60));
+    std::string text =
+        answer.body.substr(answer.body.size() - std::min<std::size_t>(answer.body.size(), 60));
     for (char& c : text)
       if (c == '\n' || c == '\r')
         c = ' ';
--- a/review/common.h
+++ b/review/common.h
@@ -240,12 +240,12 @@
 
 /// How the answer to a request came out, as its client saw it.
 struct Answer {
-  int status = 0;          // 0: no head came
-  std::string body;        // of a chunked one, without the chunks' sizes
-  bool complete = false;   // to its length, or to its last chunk
+  int status = 0;         // 0: no head came
+  std::string body;       // of a chunked one, without the chunks' sizes
+  bool complete = false;  // to its length, or to its last chunk
   bool connected = false;
   double tookMs = 0;
-  bool timedOut = false;   // the client has waited to its limit
+  bool timedOut = false;  // the client has waited to its limit
   std::string text() const {
     if (!connected)
       return "no connection";
@@ -255,7 +255,9 @@
   }
 };
 
-inline Answer readAnswer(int socket, Reader& reader, double waitMs,
+inline Answer readAnswer(int socket,
+                         Reader& reader,
+                         double waitMs,
                          const std::function<void()>& onHead = nullptr) {
   (void)socket;
   Answer answer;
@@ -362,7 +364,8 @@
 /// A router as a process of its own, by the deploy file's command, from the project's root.
 class Router {
  public:
-  Router(std::string root, std::string folder) : root_(std::move(root)), folder_(std::move(folder)) {}
+  Router(std::string root, std::string folder)
+      : root_(std::move(root)), folder_(std::move(folder)) {}
   ~Router() { end(); }
 
   void start(const std::string& arguments, const std::vector<std::string>& environment) {
--- a/review/platform_site.h
+++ b/review/platform_site.h
@@ -16,7 +16,9 @@
   std::string phase = "active";
 };
 
-inline std::string listText(int revision, bool complete, const std::string& zone,
+inline std::string listText(int revision,
+                            bool complete,
+                            const std::string& zone,
                             const std::vector<Member>& members) {
   std::string text = R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" +
                      (complete ? "true" : "false") + R"(,"members":[)";
@@ -58,7 +60,8 @@
 struct Call {
   std::string id, cls, body;
   int budgetMs = 6'000;
-  std::string text(const std::string& tenant, const std::string& path = "/v1/chat/completions") const {
+  std::string text(const std::string& tenant,
+                   const std::string& path = "/v1/chat/completions") const {
     return "POST " + path + " HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: " + id +
            "\r\nX-Call-Class: " + cls + "\r\n" +
            (tenant.empty() ? "" : "X-Caller: " + tenant + "\r\n") + "X-Route-Hash: c" + id +
@@ -85,7 +88,9 @@
  public:
   using Script = std::function<std::vector<Part>(const Message& request, const std::string& id)>;
   Instance(std::string name, Record& record, Script script)
-      : name_(std::move(name)), record_(record), script_(std::move(script)),
+      : name_(std::move(name)),
+        record_(record),
+        script_(std::move(script)),
         server_([this](int socket) { serve(socket); }) {}
   const Address& address() const { return server_.address; }
 
@@ -135,8 +140,10 @@
 }
 
 /// GW_CONFIG of the router, in the folder.
-inline std::string writeConfig(const std::string& folder, const Address& listen,
-                               const Address& discovery, const std::string& list,
+inline std::string writeConfig(const std::string& folder,
+                               const Address& listen,
+                               const Address& discovery,
+                               const std::string& list,
                                const std::string& settings) {
   const std::string path = folder + "/config.json";
   std::ofstream(path) << R"({"name":"n0","listen":")" << listen.text() << R"(","discovery":")"
