Read all documents from outside through one reader with limits

The JSON library writes and copies values by recursion, and parses MessagePack so, hence the sender decided how deep the stack got.

core/document_reader parses JSON and MessagePack with limits on depth (256 levels), bytes and values. A client gets 400 with a sentence that names the limit; the other places treat the document as one that cannot be read. Requests that nest up to the limit reach the instance byte for byte as before.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -2,10 +2,10 @@
 
 #include <charconv>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 #include <string_view>
 
+#include "core/document_reader.h"
 #include "frontend/settings_json.h"
 #include "upstream/instance_directory.h"
 
@@ -18,6 +18,10 @@
 constexpr std::uint32_t kDefaultSockets = 1024;
 constexpr std::uint32_t kMinSockets = 128;
 constexpr int kHexadecimal = 16;
+// A list of 1,024 instances of 4 KiB is a quarter of it.
+constexpr core::DocumentLimits kFileLimits{.maxBytes = std::size_t{16} * 1024 * 1024,
+                                           .maxValues = 512UL * 1024};
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 
 ConfigError fileError(const std::string& key, const std::string& reason) {
   return {ConfigInput::kFile, key, reason};
@@ -98,16 +102,21 @@
 
 std::string readText(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf()))
+  std::string text;
+  std::string part(kReadBytes, '\0');
+  while (file && text.size() <= kFileLimits.maxBytes) {
+    file.read(part.data(), static_cast<std::streamsize>(part.size()));
+    text.append(part, 0, static_cast<std::size_t>(file.gcount()));
+  }
+  if (text.empty() || file.bad())
     throw fileError("", "cannot read " + path);
-  return text.str();
+  return text;
 }
 
 json parseJson(const std::string& text, const std::string& path) {
   try {
-    return json::parse(text);
-  } catch (const json::exception& fault) {
+    return core::parseJson(text, kFileLimits);
+  } catch (const core::DocumentError& fault) {
     throw fileError("", path + ": " + fault.what());
   }
 }
--- a/src/app/handed_stream.cpp
+++ b/src/app/handed_stream.cpp
@@ -2,12 +2,18 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/document_reader.h"
+#include "net/descriptor_transfer.h"
+
 namespace inference_router::app {
 
 using nlohmann::json;
 
 namespace {
 
+constexpr core::DocumentLimits kLimits{.maxBytes = net::DescriptorReceiver::kMaxMessageBytes,
+                                       .maxValues = 1024};
+
 json binary(const std::string& bytes) {
   return json::binary({bytes.begin(), bytes.end()});
 }
@@ -17,6 +23,29 @@
   return {bytes.begin(), bytes.end()};
 }
 
+HandedStream streamOf(const json& fields) {
+  HandedStream stream{};
+  stream.arrival.request = {bytesOf(fields.at("id"))};
+  stream.arrival.cls = {fields.at("class").get<std::uint32_t>()};
+  if (!fields.at("tenant").is_null())
+    stream.arrival.tenant = routing::TenantIndex{fields.at("tenant").get<std::uint32_t>()};
+  stream.arrival.session = bytesOf(fields.at("session"));
+  stream.arrival.prefix = bytesOf(fields.at("prefix"));
+  stream.arrival.promptTokens = fields.at("prompt").get<double>();
+  stream.arrival.prefixTokens = fields.at("shared").get<double>();
+  stream.arrival.maxTokens = fields.at("most").get<double>();
+  stream.instance = {bytesOf(fields.at("engine"))};
+  stream.address = net::parseEndpoint(fields.at("address").get<std::string>());
+  stream.instanceTransfer.call.unread = bytesOf(fields.at("unread"));
+  stream.instanceTransfer.call.chunkRemaining = fields.at("chunk").get<std::uint64_t>();
+  stream.instanceTransfer.call.keepAlive = fields.at("box_keeps").get<bool>();
+  stream.instanceTransfer.event = bytesOf(fields.at("event"));
+  stream.client.pipelinedInput = bytesOf(fields.at("ahead"));
+  stream.client.pipelinedSinceMs = fields.value("ahead_came", 0.0);  // absent in earlier versions
+  stream.client.keepAlive = fields.at("client_keeps").get<bool>();
+  return stream;
+}
+
 }  // namespace
 
 std::string encode(const HandedStream& stream) {
@@ -43,27 +72,7 @@
 }
 
 HandedStream decodeHandedStream(const std::string& text) {
-  const json fields = json::from_msgpack(text);
-  HandedStream stream{};
-  stream.arrival.request = {bytesOf(fields.at("id"))};
-  stream.arrival.cls = {fields.at("class").get<std::uint32_t>()};
-  if (!fields.at("tenant").is_null())
-    stream.arrival.tenant = routing::TenantIndex{fields.at("tenant").get<std::uint32_t>()};
-  stream.arrival.session = bytesOf(fields.at("session"));
-  stream.arrival.prefix = bytesOf(fields.at("prefix"));
-  stream.arrival.promptTokens = fields.at("prompt").get<double>();
-  stream.arrival.prefixTokens = fields.at("shared").get<double>();
-  stream.arrival.maxTokens = fields.at("most").get<double>();
-  stream.instance = {bytesOf(fields.at("engine"))};
-  stream.address = net::parseEndpoint(fields.at("address").get<std::string>());
-  stream.instanceTransfer.call.unread = bytesOf(fields.at("unread"));
-  stream.instanceTransfer.call.chunkRemaining = fields.at("chunk").get<std::uint64_t>();
-  stream.instanceTransfer.call.keepAlive = fields.at("box_keeps").get<bool>();
-  stream.instanceTransfer.event = bytesOf(fields.at("event"));
-  stream.client.pipelinedInput = bytesOf(fields.at("ahead"));
-  stream.client.pipelinedSinceMs = fields.value("ahead_came", 0.0);  // absent in earlier versions
-  stream.client.keepAlive = fields.at("client_keeps").get<bool>();
-  return stream;
+  return core::decodeMessagePack(text, kLimits, streamOf);
 }
 
 }  // namespace inference_router::app
--- a/src/coordination/etcd_client.cpp
+++ b/src/coordination/etcd_client.cpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "coordination/store.h"
+#include "core/document_reader.h"
 #include "net/message.h"
 
 namespace inference_router::coordination {
@@ -19,10 +21,22 @@
 // Bounds a read of all documents in base64, which is a third larger than the documents. At most two
 // copies exist at a time (as text, JSON or documents): 96 MiB of the 192 MiB that a router may use.
 constexpr std::size_t kMaxResponseBytes = 48 << 20;
+// Of a response: a document takes eight.
+constexpr core::DocumentLimits kResponseLimits{.maxBytes = kMaxResponseBytes,
+                                               .maxValues = 16 * kMaxDocuments};
 // Concurrent calls; further ones fail at once.
 constexpr std::size_t kMaxCalls = 64;
 constexpr unsigned kHttpOk = 200;
 
+std::optional<json> responseOf(const std::string& text) {
+  try {
+    json value = core::parseJson(text, kResponseLimits);
+    return value.is_object() ? std::optional(std::move(value)) : std::nullopt;
+  } catch (const core::DocumentError&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 /// One call in progress. Owned by the connection pool; the client refers to it until the call ends.
@@ -53,8 +67,8 @@
     return true;
   }
   void done() override {
-    json value = json::parse(std::exchange(text_, {}), nullptr, /*allow_exceptions=*/false);
-    if (status_ == kHttpOk && value.is_object())
+    std::optional<json> value = responseOf(std::exchange(text_, {}));
+    if (status_ == kHttpOk && value)
       return finish(std::move(value), "etcd.answered");
     finish(std::nullopt, "etcd.errors");
   }
--- a/src/coordination/lease_encoding.cpp
+++ b/src/coordination/lease_encoding.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "coordination/stored_json.h"
+
 namespace inference_router::coordination {
 
 using nlohmann::json;
@@ -60,17 +62,6 @@
   return cell;
 }
 
-template <class Decode>
-auto parse(std::string_view text, const Decode& decode) -> std::optional<decltype(decode(json()))> {
-  try {
-    return decode(json::parse(text));
-  } catch (const json::exception&) {
-    return std::nullopt;
-  } catch (const std::invalid_argument&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 std::string serialize(const LeaseRecord& record) {
@@ -78,7 +69,7 @@
 }
 
 std::optional<LeaseRecord> parseLeaseRecord(std::string_view text) {
-  return parse(text, recordFrom);
+  return decodeStoredJson(text, recordFrom);
 }
 
 std::string serialize(const LeaseCell& cell) {
@@ -93,7 +84,7 @@
 }
 
 std::optional<LeaseCell> parseLeaseCell(std::string_view text) {
-  return parse(text, cellFrom);
+  return decodeStoredJson(text, cellFrom);
 }
 
 }  // namespace inference_router::coordination
--- a/src/coordination/plan.cpp
+++ b/src/coordination/plan.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "coordination/stored_json.h"
+
 namespace inference_router::coordination {
 
 using nlohmann::json;
@@ -112,16 +114,10 @@
 }
 
 std::optional<Plan> Plan::parse(std::string_view text) {
-  try {
-    Plan plan = planFrom(json::parse(text));
-    if (!wellFormed(plan))
-      return std::nullopt;
-    return plan;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  } catch (const std::invalid_argument&) {
+  auto plan = decodeStoredJson(text, planFrom);
+  if (plan && !wellFormed(*plan))
     return std::nullopt;
-  }
+  return plan;
 }
 
 std::optional<StoredPlan> findPlan(const std::map<std::string, Document>& documents) {
--- a/src/coordination/presence.cpp
+++ b/src/coordination/presence.cpp
@@ -1,13 +1,33 @@
 #include "coordination/presence.h"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "coordination/stored_json.h"
 
 namespace inference_router::coordination {
 
 using nlohmann::json;
 
 namespace {
+
 constexpr const char* kFormat = "dahliastall-node-1";
+
+Presence presenceFrom(const json& value) {
+  if (value.at("form") != kFormat)
+    throw std::invalid_argument("unknown format");
+  Presence presence;
+  presence.holder.name = value.at("name").get<std::string>();
+  presence.holder.incarnation = value.at("incarnation").get<std::uint64_t>();
+  presence.sequence = value.at("beat").get<std::uint64_t>();
+  presence.plan = value.at("plan").get<std::string>();
+  presence.steps = value.at("steps").get<std::uint64_t>();
+  presence.open = value.at("open").get<std::map<std::string, std::uint64_t>>();
+  if (presence.open.size() > kMaxFleetInstances)
+    throw std::invalid_argument("too many instances");
+  return presence;
+}
+
 }  // namespace
 
 bool isPresenceKey(const std::string& key) {
@@ -22,23 +42,7 @@
 }
 
 std::optional<Presence> Presence::parse(std::string_view text) {
-  try {
-    const json value = json::parse(text);
-    if (value.at("form") != kFormat)
-      return std::nullopt;
-    Presence presence;
-    presence.holder.name = value.at("name").get<std::string>();
-    presence.holder.incarnation = value.at("incarnation").get<std::uint64_t>();
-    presence.sequence = value.at("beat").get<std::uint64_t>();
-    presence.plan = value.at("plan").get<std::string>();
-    presence.steps = value.at("steps").get<std::uint64_t>();
-    presence.open = value.at("open").get<std::map<std::string, std::uint64_t>>();
-    if (presence.open.size() > kMaxFleetInstances)
-      return std::nullopt;
-    return presence;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
+  return decodeStoredJson(text, presenceFrom);
 }
 
 std::optional<Write> PresencePublisher::nextWrite(const Presence& current, double nowMs) {
--- a/src/fleet/exclusions.cpp
+++ b/src/fleet/exclusions.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "core/document_reader.h"
+
 namespace inference_router::fleet {
 
 using nlohmann::json;
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr const char* kFormat = "dahliastall-marks-1";
+constexpr core::DocumentLimits kLimits{.maxBytes = Exclusions::kMaxTextBytes, .maxValues = 65'536};
 
 }  // namespace
 
@@ -56,8 +59,7 @@
 }
 
 std::optional<Exclusions> Exclusions::parse(std::string_view text) {
-  try {
-    const json value = json::parse(text);
+  const auto decode = [](const json& value) -> std::optional<Exclusions> {
     if (value.at("form") != kFormat || !value.at("marks").is_array())
       return std::nullopt;
     Exclusions exclusions;
@@ -73,7 +75,10 @@
         return std::nullopt;
     }
     return exclusions;
-  } catch (const json::exception&) {
+  };
+  try {
+    return core::decodeJson(text, kLimits, decode);
+  } catch (const core::DocumentError&) {
     return std::nullopt;
   }
 }
--- a/src/frontend/openai/chat_request.cpp
+++ b/src/frontend/openai/chat_request.cpp
@@ -1,8 +1,11 @@
 #include "frontend/openai/chat_request.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "core/document_reader.h"
 #include "frontend/openai/api_error.h"
+#include "net/message.h"
 
 namespace inference_router::frontend {
 
@@ -10,6 +13,9 @@
 
 namespace {
 
+constexpr core::DocumentLimits kBodyLimits{.maxBytes = net::kMaxBodyBytes};
+constexpr const char* kNoObject = "the body is not a JSON object";
+
 bool has(const json& body, const char* name) {
   return body.contains(name) && !body.at(name).is_null();
 }
@@ -85,12 +91,9 @@
   return flagOf(body.at("stream_options"), "include_usage");
 }
 
-}  // namespace
-
-ChatRequest readChatRequest(const std::string& body, double defaultMaxTokens) {
-  json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+ChatRequest requestOf(json& document, double defaultMaxTokens) {
   if (!document.is_object())
-    throw badRequest("the body is not a JSON object");
+    throw badRequest(kNoObject);
   ChatRequest request;
   request.model = stringOf(document, "model");
   if (request.model.empty())
@@ -103,11 +106,30 @@
     throw badRequest("only n = 1 is served", "n");
   request.maxTokens =
       countOf(document, "max_completion_tokens", countOf(document, "max_tokens", defaultMaxTokens));
-  request.messages = document.at("messages");
   document["stream"] = true;
   document["stream_options"] = {{"include_usage", true}};
   request.instanceBody = document.dump(-1, ' ', false, json::error_handler_t::replace);
+  request.messages = std::move(document["messages"]);
   return request;
 }
 
+ApiError errorFor(const core::DocumentError& error) {
+  if (error.fault() == core::DocumentFault::kTooDeep)
+    return badRequest("the body nests lists and objects more than " +
+                      std::to_string(kBodyLimits.maxDepth) + " levels deep");
+  return badRequest(kNoObject);
+}
+
+}  // namespace
+
+ChatRequest readChatRequest(const std::string& body, double defaultMaxTokens) {
+  try {
+    return core::decodeJson(body, kBodyLimits, [defaultMaxTokens](json& document) {
+      return requestOf(document, defaultMaxTokens);
+    });
+  } catch (const core::DocumentError& error) {
+    throw errorFor(error);
+  }
+}
+
 }  // namespace inference_router::frontend
--- a/src/frontend/platform/discovery.cpp
+++ b/src/frontend/platform/discovery.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "core/document_reader.h"
 #include "frontend/platform/endpoint_list.h"
 #include "net/message.h"
 
@@ -20,6 +21,8 @@
 constexpr std::size_t kMaxCandidates = 2;
 constexpr std::size_t kMaxWatchConnections = 1 + kMaxCandidates;  // with the current watch
 constexpr double kMaxIdleMs = 1'000;
+constexpr core::DocumentLimits kListLimits{.maxBytes = DiscoveryWatch::kMaxDocumentBytes,
+                                           .maxValues = 512UL * 1024};
 
 }  // namespace
 
@@ -256,7 +259,7 @@
   const bool isBlank = text.find_first_not_of(" \r\t\n") == std::string_view::npos;
   try {
     if (!isBlank)
-      apply(json::parse(text), std::nullopt);
+      apply(core::parseJson(text, kListLimits), std::nullopt);
     ages_.onContact();
     return isBlank ? DocumentKind::kKeepAlive : DocumentKind::kList;
   } catch (const json::exception&) {
--- a/src/frontend/platform/discovery_watch.cpp
+++ b/src/frontend/platform/discovery_watch.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxDocumentBytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned kOk = 200;
 
 WatchEnd endOf(net::CallFailure failure) {
--- a/src/frontend/platform/discovery_watch.h
+++ b/src/frontend/platform/discovery_watch.h
@@ -64,6 +64,9 @@
 /// sink own each other while the call runs, so the owner must close each watch that it drops.
 class DiscoveryWatch final : public net::CallSink {
  public:
+  /// Limits one document of discovery.
+  static constexpr std::size_t kMaxDocumentBytes = std::size_t{4} * 1024 * 1024;
+
   DiscoveryWatch(DiscoveryWatchOwner& owner,
                  const core::Clock& clock,
                  core::TimerQueue& timers,
--- a/src/shared/document_format.cpp
+++ b/src/shared/document_format.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "core/document_reader.h"
 #include "shared/documents.h"
 
 namespace inference_router::shared {
@@ -18,6 +19,7 @@
 constexpr std::size_t kMaxVersionDigits = 8;
 constexpr std::size_t kChecksumDigits = 8;
 constexpr int kHexadecimal = 16;
+constexpr core::DocumentLimits kLimits{.maxBytes = kMaxDocumentBytes, .maxValues = 512UL * 1024};
 
 std::uint32_t checksumOf(std::string_view bytes) {
   boost::crc_32_type checksum;
@@ -61,11 +63,14 @@
   text.remove_prefix(kChecksumDigits + 1);
   if (parsed.ec != std::errc() || checksumOf(text) != checksum)
     return {DecodeError::kDamaged, {}};
-  json value =
-      json::from_msgpack(text.begin(), text.end(), /*strict=*/true, /*allow_exceptions=*/false);
-  if (!value.is_object())
+  try {
+    json value = core::parseMessagePack(text, kLimits);
+    if (!value.is_object())
+      return {DecodeError::kMalformed, {}};
+    return {DecodeError::kNone, std::move(value)};
+  } catch (const core::DocumentError&) {
     return {DecodeError::kMalformed, {}};
-  return {DecodeError::kNone, std::move(value)};
+  }
 }
 
 }  // namespace inference_router::shared
