--- a/tests/outside_documents_test.cpp
+++ b/tests/outside_documents_test.cpp
@@ -104,6 +104,98 @@
   EXPECT_EQ(fixture.instances["m1"]->received.at(0)->body, body);
 }
 
+// ---- Instances
+
+// A chat whose instances stream these events.
+struct InstanceEvents {
+  std::string model;
+  bool stream;
+  std::string events;
+};
+
+// Plays one chat while another request is under way at a prefill instance, which is never answered.
+// Returns the reply and the number of attempts.
+std::pair<std::shared_ptr<Reply>, int> play(const InstanceEvents& chat) {
+  RouterFixture fixture({{"m1", "both", 0}, {"m2", "both", 0}}, true);
+  bool isOther = true;
+  for (auto& [id, instance] : fixture.instances)
+    instance->script = [&](StandInInstance& self, StandInInstance::ReceivedRequest& request) {
+      if (isOther)
+        return beginOnly(self, request);
+      request.connection->beginStream({{"Content-Type", "text/event-stream"}});
+      request.connection->writeChunk(chat.events);
+      request.connection->writeChunk(kLastEvents);
+      request.connection->endStream();
+    };
+  const auto other = postChat(fixture, chatBody("change", true, "null"));
+  EXPECT_TRUE(fixture.until([&] { return !other->text.empty(); }));
+  const auto otherRequest = fixture.streaming();
+  isOther = false;
+  const int before = fixture.chats();
+  const auto reply = postChat(fixture, chatBody(chat.model, chat.stream, "null"));
+  waitFor(fixture, *reply);
+  const int attempts = fixture.chats() - before;
+  otherRequest->connection->writeChunk(kLastEvents);
+  otherRequest->connection->endStream();
+  EXPECT_NE(fixture.finished(other)->text.find("[DONE]"), std::string::npos) << chat.events;
+  return {reply, attempts};
+}
+
+void expectFinalAnswer(const InstanceEvents& chat) {
+  const auto [reply, attempts] = play(chat);
+  EXPECT_TRUE(reply->complete) << chat.events;
+  EXPECT_TRUE(reply->status == 200 || reply->status == 503 || reply->status == 429)
+      << reply->status << " " << chat.events;
+  if (chat.model == "change") {
+    EXPECT_LE(attempts, 1) << chat.events;
+  }
+}
+
+const std::string kSpoiltIndex = R"(data: {"choices":[{"index":null,"delta":{"content":"x"}}]})"
+                                 "\n\n";
+
+// A change must never run twice.
+TEST(OutsideDocuments, UnreadableFirstEventIsRetriedIfTheClassAllowsIt) {
+  const auto [question, questionAttempts] = play({"ask", false, kSpoiltIndex});
+  EXPECT_GT(questionAttempts, 1);
+  EXPECT_TRUE(question->complete);
+  const auto [change, changeAttempts] = play({"change", false, kSpoiltIndex});
+  EXPECT_EQ(changeAttempts, 1);
+  EXPECT_EQ(change->status, 503U);
+  EXPECT_EQ(change->fields["X-Should-Retry"], "false");
+}
+
+TEST(OutsideDocuments, EventsOfUnexpectedTypesGetAFinalAnswer) {
+  for (const char* choice :
+       {R"({"index":null})", R"({"index":"0"})", R"({"index":-1})", R"({"index":1e300})",
+        R"({"delta":[]})", R"({"finish_reason":7})", R"({"delta":{"tool_calls":"x"}})",
+        R"({"delta":{"tool_calls":"x"}},{"delta":{"tool_calls":[{"index":0}]}})",
+        R"({"delta":{"tool_calls":[{"index":null}]}})", R"({"delta":{"tool_calls":[7]}})",
+        R"({"delta":{"tool_calls":[{"index":"1"}]}})",
+        R"({"delta":{"tool_calls":[{"index":999999999}]}})",
+        R"({"delta":{"tool_calls":[{"index":3,"function":{"arguments":{}}}]}})",
+        R"({"delta":{"tool_calls":[{"index":3,"function":[]}]}})"}) {
+    const std::string event = std::string(R"(data: {"choices":[)") + choice + "]}\n\n";
+    for (const char* model : {"ask", "change"})
+      expectFinalAnswer({model, false, event});
+  }
+}
+
+TEST(OutsideDocuments, MalformedPrefillResultsGetAFinalAnswer) {
+  for (const std::string& result :
+       {nestedLists(kStackBreakingDepth), nestedObjects(40'000), std::string("{"),
+        R"({"cached_tokens":)" + std::string(900, '9') + "}",
+        std::string(R"({"cached_tokens":-)")}) {
+    RouterFixture fixture(kSplit, true);
+    for (const char* id : {"r1", "r2"})
+      fixture.instances[id]->script = [&](StandInInstance&,
+                                          StandInInstance::ReceivedRequest& request) {
+        request.connection->answer(202, {}, result);
+      };
+    EXPECT_EQ(fixture.finished(postChat(fixture, chatBody("ask", false, "null")))->status, 200U);
+  }
+}
+
 // ---- Discovery
 
 TEST(OutsideDocuments, MalformedListsOfDiscoveryAreRejected) {
