End the attempt alone whose event cannot be read

Completion read members with accessors that throw for another type, and nothing caught them below io_context::run(). So did an index that is a text, a number out of range, and tool calls that are a text first and a list later. An event that nests deeply overflowed the stack as it was copied.

Events are decoded into typed chunks (chat_event) before a request is bound to its attempt. One that cannot be read ends the attempt as any malformed answer does: repeated where the class allows it and nothing was passed on, else failed with X-Should-Retry: false. A whole answer is bounded by its memory, not by its text alone.

Callers may notice: a stream's usage or error event that is no JSON object now ends the stream with an error; it was forwarded before.

--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -40,6 +40,9 @@
   virtual void reject(const Rejection& refusal) = 0;
   /// The request failed, and may have run.
   virtual void fail(const Failure& failure) = 0;
+  /// Whether a part of the stream can be passed on. Called with each part right before write(). The
+  /// attempt of a part that cannot is over, and nothing of the part is sent.
+  virtual bool canRead(std::string_view) { return true; }
   /// Sends a part of the stream. False asks the caller to wait for
   /// RequestDispatcher::clientReady().
   virtual bool write(std::string_view part) = 0;
--- a/src/core/request_dispatcher.cpp
+++ b/src/core/request_dispatcher.cpp
@@ -109,6 +109,18 @@
   return request == nullptr || request->facts.streaming || !request->responseWriter;
 }
 
+// The client is not asked about an attempt that will be cancelled, as another one is its stream.
+bool RequestDispatcher::canRead(AttemptKey key, std::string_view part) {
+  const AttemptState* attempt = context_.requests.findAttempt(key);
+  if (attempt == nullptr)
+    return true;
+  const RequestState* request = context_.requests.find(attempt->request);
+  const bool hasOtherStream = request->facts.streaming && !attempt->streaming;
+  if (!request->responseWriter || hasOtherStream)
+    return true;
+  return request->responseWriter->canRead(part);
+}
+
 bool RequestDispatcher::responseReceived(AttemptKey key, std::string_view part) {
   const AttemptState* attempt = context_.requests.findAttempt(key);
   if (attempt == nullptr)
--- a/src/core/request_dispatcher.h
+++ b/src/core/request_dispatcher.h
@@ -80,6 +80,9 @@
   /// Whether a request has no more use for anything that instances hold for it, as it is streaming
   /// or has ended.
   bool needsNoHeldState(const routing::RequestId& id) const;
+  /// Whether a part of an attempt's response can be passed on to the client. Has to be asked right
+  /// before responseReceived(); a response of which a part cannot is invalid.
+  bool canRead(AttemptKey key, std::string_view part);
   /// A part of an attempt's response has arrived. Returns false if the client reads too slowly: the
   /// caller then has to wait for InstanceClient::resume().
   bool responseReceived(AttemptKey key, std::string_view part);
--- a/src/frontend/openai/chat_response_writer.cpp
+++ b/src/frontend/openai/chat_response_writer.cpp
@@ -2,39 +2,21 @@
 
 #include <utility>
 
+#include "core/document_reader.h"
 #include "net/message.h"
 
 namespace inference_router::frontend {
 
-using nlohmann::json;
-
 namespace {
 
 constexpr double kRetryAfterMs = 1'000;  // if the rejection or failure names no delay
-// Limits both a response assembled from a stream and a single event.
-constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t kMaxIncompleteEventBytes = std::size_t{4} * 1024 * 1024;
 constexpr const char* kEndOfStream = "[DONE]";
 
 std::string eventOf(const std::string& data) {
   return "data: " + data + "\n\n";
 }
 
-bool isErrorEvent(const json& chunk) {
-  return chunk.is_object() && chunk.contains("error") && !chunk.contains("choices");
-}
-
-bool isUsageOnlyEvent(const json& chunk) {
-  return chunk.is_object() && chunk.contains("usage") && chunk.contains("choices") &&
-         chunk.at("choices").is_array() && chunk.at("choices").empty();
-}
-
-void readCount(const json& usage, const char* name, std::uint64_t& result) {
-  const auto count = usage.find(name);
-  if (count != usage.end() && count->is_number_unsigned() &&
-      count->get<std::uint64_t>() < shared::kMaxTokens)
-    result = count->get<std::uint64_t>();
-}
-
 }  // namespace
 
 ChatResponseWriter::ChatResponseWriter(Front& front,
@@ -75,18 +57,31 @@
               ShouldRetry::kNo, kRetryAfterMs);
 }
 
+bool ChatResponseWriter::canRead(std::string_view bytes) {
+  nextPart_ = decode(bytes);
+  return nextPart_.has_value();
+}
+
 bool ChatResponseWriter::write(std::string_view bytes) {
-  events_.add(bytes);
+  std::optional<Part> part = std::exchange(nextPart_, std::nullopt);
+  if (!part)
+    part = decode(bytes);
+  if (!part) {
+    isUnreadable_ = true;
+    return true;
+  }
+  events_ = std::move(part->rest);
+  isComplete_ = part->isComplete;
   bool acceptsMore = true;
-  while (const auto event = events_.next())
-    acceptsMore = forwardEvent(*event) && acceptsMore;
-  if (events_.pendingBytes() > kMaxAnswerBytes)
+  for (const Event& event : part->events)
+    acceptsMore = forward(event) && acceptsMore;
+  if (events_.pendingBytes() > kMaxIncompleteEventBytes)
     isTooLong_ = true;
   return acceptsMore;
 }
 
 void ChatResponseWriter::end() {
-  if (!isComplete_ || hasError_ || isTooLong_)
+  if (!isComplete_ || hasError_ || isTooLong_ || isUnreadable_)
     return abort();
   if (reservation_)
     reservation_->served(promptTokens_, answerTokens_);
@@ -110,45 +105,54 @@
   connection_->endStream();
 }
 
-// [DONE] is not forwarded: end() writes it once the stream is known to be complete. Events of a
-// stream that contain neither usage nor an error are forwarded without being parsed.
-bool ChatResponseWriter::forwardEvent(const std::string& event) {
-  const std::string data = dataOf(event);
-  if (data == kEndOfStream)
-    isComplete_ = true;
-  if (isComplete_)
-    return true;
-  const bool needsParsing =
+// [DONE] is not forwarded: end() writes it once the stream is known to be complete. What follows it
+// is ignored.
+std::optional<ChatResponseWriter::Part> ChatResponseWriter::decode(std::string_view bytes) const {
+  Part part{.events = {}, .rest = events_, .isComplete = isComplete_};
+  part.rest.add(bytes);
+  try {
+    while (auto text = part.rest.next()) {
+      const std::string data = dataOf(*text);
+      part.isComplete = part.isComplete || data == kEndOfStream;
+      if (part.isComplete)
+        continue;
+      std::optional<ChatChunk> chunk;
+      if (needsChunk(data))
+        chunk = readChatChunk(data);
+      part.events.push_back({std::move(*text), std::move(chunk)});
+    }
+  } catch (const core::DocumentError&) {
+    return std::nullopt;
+  }
+  return part;
+}
+
+// Events of a stream that contain neither usage nor an error are forwarded without being parsed.
+bool ChatResponseWriter::needsChunk(std::string_view data) const {
+  const bool isRelevant =
       data.find("\"usage\"") != std::string::npos || data.find("\"error\"") != std::string::npos;
-  if (isStream_ && !needsParsing)
-    return writeEvent(event);
-  const json chunk = json::parse(data, nullptr, /*allow_exceptions=*/false);
-  if (isErrorEvent(chunk))
-    hasError_ = true;
-  readUsage(chunk);
-  if (!isStream_)
-    return addToCompletion(chunk);
-  return (isUsageOnlyEvent(chunk) && !includesUsage_) || writeEvent(event);
+  return !data.empty() && (!isStream_ || isRelevant);
 }
 
-bool ChatResponseWriter::addToCompletion(const json& chunk) {
-  if (completion_.size() > kMaxAnswerBytes)
-    isTooLong_ = true;
-  else
-    completion_.add(chunk);
+bool ChatResponseWriter::forward(const Event& event) {
+  if (!event.chunk)
+    return !isStream_ || writeEvent(event.text);
+  const ChatChunk& chunk = *event.chunk;
+  if (chunk.isErrorEvent)
+    hasError_ = true;
+  recordUsage(chunk.tokens);
+  if (isStream_)
+    return (chunk.isUsageOnly && !includesUsage_) || writeEvent(event.text);
+  if (!isTooLong_)
+    isTooLong_ = !completion_.add(chunk);
   return true;
 }
 
 // Replaces the estimate by the token counts of the instance. The estimate from the text's length
 // only serves to compare requests.
-void ChatResponseWriter::readUsage(const json& chunk) {
-  if (!chunk.is_object())
-    return;
-  const auto usage = chunk.find("usage");
-  if (usage == chunk.end() || !usage->is_object())
-    return;
-  readCount(*usage, "prompt_tokens", promptTokens_);
-  readCount(*usage, "completion_tokens", answerTokens_);
+void ChatResponseWriter::recordUsage(const TokenUsage& usage) {
+  promptTokens_ = usage.promptTokens.value_or(promptTokens_);
+  answerTokens_ = usage.completionTokens.value_or(answerTokens_);
 }
 
 bool ChatResponseWriter::writeEvent(std::string_view event) {
--- a/src/frontend/openai/chat_response_writer.h
+++ b/src/frontend/openai/chat_response_writer.h
@@ -3,13 +3,15 @@
 
 #include <cstdint>
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/ports.h"
 #include "frontend/front.h"
 #include "frontend/openai/api_error.h"
+#include "frontend/openai/chat_event.h"
 #include "frontend/openai/chat_request.h"
 #include "frontend/openai/completion.h"
 #include "frontend/openai/sse.h"
@@ -33,6 +35,7 @@
   bool isClientPresent() const override { return connection_->isPeerPresent(); }
   void reject(const core::Rejection& rejection) override;
   void fail(const core::Failure& failure) override;
+  bool canRead(std::string_view bytes) override;
   bool write(std::string_view bytes) override;
   void end() override;
   void abort() override;
@@ -40,9 +43,21 @@
  private:
   enum class ShouldRetry { kNo, kYes };
 
-  bool forwardEvent(const std::string& event);
-  bool addToCompletion(const nlohmann::json& chunk);
-  void readUsage(const nlohmann::json& chunk);
+  struct Event {
+    std::string text;
+    std::optional<ChatChunk> chunk;  // none: the event does not have to be understood
+  };
+  /// A decoded part of the instance's stream.
+  struct Part {
+    std::vector<Event> events;
+    EventSplitter rest;
+    bool isComplete = false;
+  };
+
+  std::optional<Part> decode(std::string_view bytes) const;
+  bool needsChunk(std::string_view data) const;
+  bool forward(const Event& event);
+  void recordUsage(const TokenUsage& usage);
   bool writeEvent(std::string_view event);
   void answerCompletion();
   void answerError(const ApiError& error, ShouldRetry shouldRetry, double retryAfterMs = 0);
@@ -56,11 +71,13 @@
   std::uint64_t promptTokens_;
   std::uint64_t answerTokens_ = 0;
   EventSplitter events_;
-  Completion completion_;     // used if the client did not ask for a stream
-  bool streamBegun_ = false;  // the response head has been sent
-  bool isComplete_ = false;   // the instance has sent [DONE]
-  bool hasError_ = false;     // the instance has sent an error event
+  std::optional<Part> nextPart_;  // decoded by canRead(), and not written yet
+  Completion completion_;         // used if the client did not ask for a stream
+  bool streamBegun_ = false;      // the response head has been sent
+  bool isComplete_ = false;       // the instance has sent [DONE]
+  bool hasError_ = false;         // the instance has sent an error event
   bool isTooLong_ = false;
+  bool isUnreadable_ = false;  // a part was written that cannot be read
 };
 
 }  // namespace inference_router::frontend
--- a/src/frontend/openai/completion.cpp
+++ b/src/frontend/openai/completion.cpp
@@ -9,77 +9,83 @@
 // Bounds the memory that an invalid index can claim. No model makes this many tool calls in one
 // response.
 constexpr std::size_t kMaxToolCalls = 128;
+// What a value needs in memory beside its text: its place in a list or an object, and for a list or
+// an object the container.
+constexpr std::size_t kValueBytes = 128;
 
-void appendText(json& target, const json& text) {
-  if (!text.is_string())
-    return;
-  if (target.is_string())
-    target.get_ref<std::string&>() += text.get_ref<const std::string&>();
-  else
-    target = text;
+std::size_t memoryOf(const json& value) {
+  std::size_t bytes = kValueBytes;
+  if (value.is_string())
+    bytes += value.get_ref<const std::string&>().size();
+  if (!value.is_structured())
+    return bytes;
+  for (const auto& [name, element] : value.items())
+    bytes += name.size() + memoryOf(element);
+  return bytes;
 }
 
-std::size_t sizeOf(const json& text) {
-  return text.is_string() ? text.get_ref<const std::string&>().size() : 0;
+json emptyToolCall() {
+  return {{"id", nullptr}, {"type", "function"}, {"function", json::object()}};
 }
 
 }  // namespace
 
-void Completion::add(const json& chunk) {
-  if (!chunk.is_object())
-    return;
-  for (const auto& [name, value] : chunk.items())
-    if (name != "choices" && name != "usage" && name != "object")
-      topLevelFields_[name] = value;
-  if (chunk.contains("usage") && chunk.at("usage").is_object())
-    usage_ = chunk.at("usage");
-  if (!chunk.contains("choices") || !chunk.at("choices").is_array())
-    return;
-  for (const json& choice : chunk.at("choices"))
-    addChoice(choice);
+bool Completion::add(const ChatChunk& chunk) {
+  for (const auto& [name, value] : chunk.topLevelFields.items())
+    setTopLevelField(name, value);
+  if (chunk.usage.is_object())
+    usage_ = chunk.usage;
+  for (const ChoiceDelta& choice : chunk.choices) {
+    addMessage(choice.message);
+    if (choice.finishReason)
+      finishReason_ = *choice.finishReason;
+  }
+  return bytes_ <= kMaxBytes;
 }
 
-void Completion::addChoice(const json& choice) {
-  if (!choice.is_object() || choice.value("index", 0) != 0)
-    return;
-  if (choice.contains("delta") && choice.at("delta").is_object())
-    addDelta(choice.at("delta"));
-  if (choice.contains("finish_reason") && choice.at("finish_reason").is_string())
-    finishReason_ = choice.at("finish_reason");
+void Completion::setTopLevelField(const std::string& name, const json& value) {
+  const auto [field, isNew] = topLevelFields_.get_ref<json::object_t&>().try_emplace(name, nullptr);
+  bytes_ += isNew ? name.size() : 0;
+  bytes_ -= isNew ? 0 : memoryOf(field->second);
+  bytes_ += memoryOf(value);
+  field->second = value;
 }
 
-void Completion::addDelta(const json& delta) {
-  for (const auto& [name, value] : delta.items()) {
-    size_ += sizeOf(value);
-    if (name == "role")
-      continue;
-    if (name != "tool_calls" || !value.is_array()) {
-      appendText(message_[name], value);
-      continue;
-    }
-    json& calls = message_["tool_calls"];
-    for (const json& toolCallDelta : value)
-      addToolCall(toolCallDelta, calls);
-  }
+void Completion::addMessage(const MessageDelta& delta) {
+  for (const auto& [name, text] : delta.texts)
+    appendText(message_, name, text);
+  if (delta.toolCalls.empty())
+    return;
+  json& calls = message_["tool_calls"];
+  for (const ToolCallDelta& call : delta.toolCalls)
+    addToolCall(call, calls);
 }
 
-void Completion::addToolCall(const json& toolCallDelta, json& calls) {
-  if (!toolCallDelta.is_object())
-    return;
-  const std::size_t index = toolCallDelta.value("index", 0U);
-  if (index >= kMaxToolCalls)
+void Completion::addToolCall(const ToolCallDelta& delta, json& calls) {
+  if (delta.index >= kMaxToolCalls)
     return;
-  while (calls.size() <= index)
-    calls.push_back({{"id", nullptr}, {"type", "function"}, {"function", json::object()}});
-  json& call = calls[index];
-  if (toolCallDelta.contains("id"))
-    appendText(call["id"], toolCallDelta.at("id"));
-  if (!toolCallDelta.contains("function") || !toolCallDelta.at("function").is_object())
+  while (calls.size() <= delta.index)
+    calls.push_back(emptyToolCall());
+  json& call = calls[delta.index];
+  if (delta.id)
+    appendText(call, "id", *delta.id);
+  for (const auto& [field, text] : delta.function)
+    appendText(call["function"], field, text);
+}
+
+// A value that is no text leaves the field as it is, or null if it is new.
+void Completion::appendText(json& object, const std::string& name, const OptionalText& text) {
+  const auto [field, isNew] = object.get_ref<json::object_t&>().try_emplace(name, nullptr);
+  if (isNew)
+    bytes_ += kValueBytes + name.size();
+  if (!text)
     return;
-  for (const auto& [field, text] : toolCallDelta.at("function").items()) {
-    appendText(call["function"][field], text);
-    size_ += sizeOf(text);
-  }
+  bytes_ += text->size();
+  json& target = field->second;
+  if (target.is_string())
+    target.get_ref<std::string&>() += *text;
+  else
+    target = *text;
 }
 
 std::string Completion::text() const {
--- a/src/upstream/attempt_call.cpp
+++ b/src/upstream/attempt_call.cpp
@@ -123,7 +123,7 @@
   if (status_ != kServedStatus)
     return true;
   const std::optional<std::string> events = events_.push(part);
-  if (!events) {
+  if (!events || (!events->empty() && !client_.dispatcher_.canRead(key_, *events))) {
     call_->failInvalidResponse();
     return true;
   }
--- a/tests/outside_documents_test.cpp
+++ b/tests/outside_documents_test.cpp
@@ -13,6 +13,8 @@
 #include "coordination/presence.h"
 #include "core/document_reader.h"
 #include "fleet/exclusions.h"
+#include "frontend/openai/chat_event.h"
+#include "frontend/openai/completion.h"
 #include "shared/digest_codec.h"
 #include "shared/part_codec.h"
 #include "support/discovery_fixture.h"
@@ -165,6 +167,24 @@
   EXPECT_EQ(change->fields["X-Should-Retry"], "false");
 }
 
+TEST(OutsideDocuments, UnreadableLaterEventEndsTheRequestInAnError) {
+  for (const char* model : {"ask", "change"}) {
+    RouterFixture fixture({{"m1", "both", 0}, {"m2", "both", 0}}, true);
+    for (auto& [id, instance] : fixture.instances)
+      instance->script = beginOnly;
+    const auto reply = postChat(fixture, chatBody(model, false, "null"));
+    ASSERT_TRUE(fixture.until([&] { return fixture.streaming() != nullptr; }));
+    const auto begun = [&] { return fixture.server->dispatcher.streams().size() == 1; };
+    ASSERT_TRUE(fixture.until(begun));
+    fixture.streaming()->connection->writeChunk(kSpoiltIndex);
+    waitFor(fixture, *reply);
+    EXPECT_EQ(reply->status, 503U);
+    EXPECT_EQ(reply->fields["X-Should-Retry"], "false");
+    EXPECT_EQ(fixture.chats(), 1);
+    EXPECT_EQ(fixture.server->counters["answers.garbled"], 1U);
+  }
+}
+
 TEST(OutsideDocuments, EventsOfUnexpectedTypesGetAFinalAnswer) {
   for (const char* choice :
        {R"({"index":null})", R"({"index":"0"})", R"({"index":-1})", R"({"index":1e300})",
@@ -181,6 +201,30 @@
   }
 }
 
+TEST(OutsideDocuments, DeeplyNestedEventsGetAFinalAnswer) {
+  for (const std::string& value : {nestedLists(kStackBreakingDepth), nestedObjects(40'000)}) {
+    for (const std::string begin : {R"({"x":)", R"({"usage":)", R"({"error":)", R"({"choices":)"})
+      for (const bool stream : {false, true})
+        expectFinalAnswer({"ask", stream, "data: " + begin + value + "}\n\n"});
+  }
+}
+
+TEST(OutsideDocuments, MalformedEventsGetAFinalAnswer) {
+  MalformedDocuments documents(kSeed);
+  const json valid = json::parse(
+      R"({"id":"c","model":"m","created":5,"choices":[{"index":0,"finish_reason":"stop","delta":
+          {"role":"assistant","content":"x","tool_calls":[{"index":0,"id":"t","function":
+          {"name":"f","arguments":"{}"}}]}}],"usage":{"prompt_tokens":1,"completion_tokens":2}})");
+  for (int i = 0; i < 160; ++i) {
+    std::string data = textOf(documents.variantOf(valid));
+    if (i % 4 == 0)
+      data = documents.damaged(data);
+    const std::string first = i % 2 == 0 ? "" : eventOf("first");
+    expectFinalAnswer(
+        {i % 3 == 0 ? "change" : "ask", i % 5 == 0, first + "data: " + data + "\n\n"});
+  }
+}
+
 TEST(OutsideDocuments, MalformedPrefillResultsGetAFinalAnswer) {
   for (const std::string& result :
        {nestedLists(kStackBreakingDepth), nestedObjects(40'000), std::string("{"),
@@ -196,6 +240,34 @@
   }
 }
 
+// One response may not take more memory than the process has.
+TEST(OutsideDocuments, WholeAnswersAreBounded) {
+  const auto chunksUntilFull = [](const std::function<std::string(int)>& chunk) {
+    frontend::Completion completion;
+    int chunks = 0;
+    while (chunks < 1'000 && completion.add(frontend::readChatChunk(chunk(chunks))))
+      ++chunks;
+    return chunks;
+  };
+  std::string emptyObjects = "[{}";
+  for (int i = 0; i < 10'000; ++i)
+    emptyObjects += ",{}";
+  EXPECT_LT(chunksUntilFull([&](int i) {
+              return "{\"field" + std::to_string(i) + "\":" + emptyObjects + "]}";
+            }),
+            10);
+  EXPECT_LT(chunksUntilFull([](int i) {
+              json delta = json::object();
+              for (int k = 0; k < 1'000; ++k)
+                delta[std::to_string(i) + "-" + std::to_string(k)] = 0;
+              return json{{"choices", {{{"delta", delta}}}}}.dump();
+            }),
+            100);
+  // The same fields in each chunk are kept once.
+  EXPECT_EQ(chunksUntilFull([](int) { return R"({"id":"c","x":[{},{},{}],"choices":[]})"; }),
+            1'000);
+}
+
 // ---- Discovery
 
 TEST(OutsideDocuments, MalformedListsOfDiscoveryAreRejected) {
