--- a/tests/outside_documents_test.cpp
+++ b/tests/outside_documents_test.cpp
@@ -7,6 +7,7 @@
 #include "app/config.h"
 #include "app/configuration_file.h"
 #include "app/handed_stream.h"
+#include "coordination/etcd_encoding.h"
 #include "coordination/etcd_store.h"
 #include "coordination/lease_encoding.h"
 #include "coordination/plan.h"
@@ -429,6 +430,17 @@
   }
 }
 
+// A decoder that sizes its buffer for whole groups of four characters writes behind it.
+TEST(OutsideDocuments, UnpaddedBase64OfEtcdIsDecodedWithinItsBuffer) {
+  for (std::size_t size = 0; size < 100; ++size) {
+    const std::string bytes(size, 'x');
+    std::string text = etcd::encodeBase64(bytes);
+    EXPECT_EQ(etcd::decodeBase64(text), bytes);
+    text.resize(text.find('=') == std::string::npos ? text.size() : text.find('='));
+    EXPECT_EQ(etcd::decodeBase64(text), bytes);
+  }
+}
+
 // ---- Other processes of this router
 
 app::HandedStream sampleStream() {
