Decode base64 of etcd without padding within the buffer

A response of etcd whose value has no padding made the decoder write up to two bytes behind its string: stack-buffer-overflow under ASan, and an abort of the release build within 100 such values (decoding gave wrong bytes before that). Boost's decoded_size() counts whole groups of four characters only, its decoder writes the last one as well. etcd itself pads; whoever else answers at its address may not.

--- a/src/coordination/etcd_encoding.cpp
+++ b/src/coordination/etcd_encoding.cpp
@@ -11,6 +11,8 @@
 
 namespace base64 = boost::beast::detail::base64;
 
+constexpr std::size_t kBytesOfGroup = 3;  // that four characters encode
+
 json condition(const std::string& key,
                const char* target,
                const char* field,
@@ -26,8 +28,10 @@
   return text;
 }
 
+// The decoder writes one or two bytes more than decoded_size() says if the last group has no
+// padding.
 std::string decodeBase64(const std::string& text) {
-  std::string bytes(base64::decoded_size(text.size()), '\0');
+  std::string bytes(base64::decoded_size(text.size()) + kBytesOfGroup, '\0');
   bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
   return bytes;
 }
