Refuse what arrives late in a shutdown where clients do not resume streams

SIGTERM started no grace in the decision module where clients do not resume streams, so the router went on until all was answered.

The grace starts on the platform in any case now, unless a successor takes over what is open. What arrives over 0.6 s after it is rejected unsent; what has no stream at 0.93 of the grace gets its final answer. No stream is cut.

The test that no grace is set without resumption held the fault for the rule: it is replaced by the values of both cases, and by one that plays a stream through the whole grace and a late request.

--- a/src/app/serve_platform.cpp
+++ b/src/app/serve_platform.cpp
@@ -162,12 +162,12 @@
 }  // namespace
 
 ShutdownOptions platformShutdown(const routing::Settings& settings) {
-  if (!settings.streamResumption)
-    return {.acceptForMs = kAcceptAfterStopMs};
   double longestMs = 0;
   for (const auto& cls : settings.classes)
     longestMs = std::max(longestMs, core::toMs(cls.deadline));
   const double graceMs = std::min(longestMs, kMaxDeadlineMs) + kGraceBeyondDeadlineMs;
+  if (!settings.streamResumption)
+    return {.acceptForMs = kAcceptAfterStopMs, .graceMs = graceMs, .graceWithSuccessor = false};
   return {.acceptForMs = std::max(kAcceptAfterStopMs, graceMs * kAcceptShareOfGrace),
           .graceMs = graceMs};
 }
--- a/src/app/server.cpp
+++ b/src/app/server.cpp
@@ -114,7 +114,7 @@
     stoppedMs_ = clock.nowMs();
   if (shutdown_.resign)
     shutdown_.resign();
-  if (shutdown_.graceMs)
+  if (shutdown_.graceMs && (!replaced || shutdown_.graceWithSuccessor))
     dispatcher.beginShutdown(*shutdown_.graceMs);
   listener_->drain(replaced ? 0 : shutdown_.acceptForMs, [this] { finish(); });
   if (replaced)
--- a/src/app/server.h
+++ b/src/app/server.h
@@ -27,6 +27,8 @@
   double acceptForMs = 0;
   /// The process is killed no sooner than this after the signal; none: never.
   std::optional<double> graceMs = std::nullopt;
+  /// Whether that matters also if a successor takes over what is open.
+  bool graceWithSuccessor = true;
   /// Whether another process serves at the same address; then the listener closes at once,
   std::function<bool()> hasSuccessor = {};
   /// and this is called to hand over what is open.
--- a/src/routing/graceful_shutdown.cpp
+++ b/src/routing/graceful_shutdown.cpp
@@ -15,6 +15,9 @@
 constexpr double kMigrationEnd = 0.9;
 // Share of the grace period after which requests that have no stream yet get their final answer.
 constexpr double kFinalAnswers = 0.93;
+// Where clients do not resume streams, a request that arrives later is rejected at once. What
+// arrives within 0.7 s may be cut off when the process is killed.
+constexpr Duration kAcceptArrivals = std::chrono::milliseconds(600);
 
 // Ordered by the maximum length of the answer, then by the time of the first token.
 struct Stream {
@@ -32,6 +35,10 @@
   gracePeriod_ = gracePeriod;
 }
 
+bool GracefulShutdown::rejectsArrivals(bool clientsResume, Time now) const {
+  return begunAt_ && !clientsResume && now - *begunAt_ > kAcceptArrivals;
+}
+
 GracefulShutdown::Step GracefulShutdown::next(const RequestMap& requests,
                                               bool mayMigrate,
                                               Time now) {
--- a/src/routing/graceful_shutdown.h
+++ b/src/routing/graceful_shutdown.h
@@ -26,6 +26,10 @@
 
   bool hasBegun() const { return begunAt_.has_value(); }
 
+  /// Whether a request that arrives now may not end before the process is killed. `clientsResume`:
+  /// whether clients resume a stream at another node.
+  bool rejectsArrivals(bool clientsResume, Time now) const;
+
   /// Returns the next step. begin() must have been called. `mayMigrate`: whether clients resume a
   /// stream at another node.
   Step next(const RequestMap& requests, bool mayMigrate, Time now);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -107,7 +107,10 @@
     request.objectiveAt = objectiveFor(arrival, classOf(settings_, request), context.now());
     popularity_.count(affinityKey(request), context.now());
     retryBudget_.recordArrival(popularity_.arrivals(context.now()));
-    lifecycle_.checkAdmission(request, context);
+    if (shutdown_.rejectsArrivals(settings_.streamResumption, context.now()))
+      lifecycle_.finish(request, context);
+    else
+      lifecycle_.checkAdmission(request, context);
     eraseIfFinished(arrival.request);
   }
 
--- a/tests/fronts_test.cpp
+++ b/tests/fronts_test.cpp
@@ -467,15 +467,18 @@
   EXPECT_TRUE(fixture.until([&] { return drained; }));
 }
 
-// Clients that can resume a stream continue it at another node, so shutdown ends streams after a
-// grace period. Clients of a small site cannot resume, so their streams are never cut off.
-TEST(Shutdown, EndsStreamsAfterAGracePeriodOnlyIfClientsCanResumeThem) {
+// The process is killed after the same time whether or not clients can resume a stream. The module
+// moves streams to other nodes only if they can: NoStreamIsMigratedIfClientsDoNotResume.
+TEST(Shutdown, AcceptsForLongerIfClientsCanResumeStreams) {
   routing::Settings settings = frontend::settingsOf(siteSettings()).settings;
   const app::ShutdownOptions withoutResumption = app::platformShutdown(settings);
-  EXPECT_FALSE(withoutResumption.graceMs);
+  EXPECT_EQ(withoutResumption.graceMs, 3700);
+  EXPECT_EQ(withoutResumption.acceptForMs, 500);
+  EXPECT_FALSE(withoutResumption.graceWithSuccessor);  // it takes over the streams
   settings.streamResumption = true;
   const app::ShutdownOptions withResumption = app::platformShutdown(settings);
   EXPECT_EQ(withResumption.graceMs, 3700);  // the classes' deadlines are longer than 3 s
+  EXPECT_TRUE(withResumption.graceWithSuccessor);
   EXPECT_LT(withResumption.acceptForMs, *withResumption.graceMs);
 }
 
@@ -490,16 +493,22 @@
   const auto open = fixture.post("/v1/x", platformFields("open"), "{}");
   ASSERT_TRUE(fixture.until([&] { return !open->text.empty(); }));
   const auto stream = fixture.streaming()->connection;
+  const auto passInSteps = [&fixture](int steps) {
+    for (int i = 0; i < steps; ++i) {
+      fixture.pass(10);
+      fixture.io.restart();
+      fixture.io.poll();
+    }
+  };
   fixture.server->dispatcher.beginShutdown(*graceMs);
-  fixture.pass(500);
+  passInSteps(50);
   const auto early = fixture.post("/v1/x", platformFields("early"), "{}");
   ASSERT_TRUE(fixture.until([&] { return !early->text.empty(); }));
-  fixture.pass(200);
+  passInSteps(20);
   const auto late = fixture.finished(fixture.post("/v1/x", platformFields("late"), "{}"));
   EXPECT_EQ(late->status, 503U);
   EXPECT_EQ(fixture.chats(), 2);
-  for (int i = 0; i < 30; ++i)
-    fixture.pass(100);
+  passInSteps(300);
   EXPECT_FALSE(open->over);
   stream->writeChunk(kLastEvents);
   stream->endStream();
--- a/tests/routing_units_test.cpp
+++ b/tests/routing_units_test.cpp
@@ -213,5 +213,14 @@
   EXPECT_EQ(last.toFinish, (std::vector<RequestId>{{"waiting"}}));
 }
 
+TEST(GracefulShutdownStep, RejectsLateArrivalsOnlyIfClientsDoNotResume) {
+  GracefulShutdown shutdown;
+  EXPECT_FALSE(shutdown.rejectsArrivals(false, kStart));
+  shutdown.begin(kStart, 3700ms);
+  EXPECT_FALSE(shutdown.rejectsArrivals(false, kStart + 600ms));
+  EXPECT_TRUE(shutdown.rejectsArrivals(false, kStart + 650ms));
+  EXPECT_FALSE(shutdown.rejectsArrivals(true, kStart + 3s));
+}
+
 }  // namespace
 }  // namespace inference_router::routing
