--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -130,6 +130,14 @@
   start();
 }
 
+std::optional<std::string> Client::streamSentAfter(double sentMs) const {
+  if (id_.empty())
+    return std::nullopt;
+  const ClientView& view = environment_.requestLog.entry(id_);
+  const bool begun = view.status != 0 && !view.answeredMs;
+  return begun && view.sentMs > sentMs ? std::optional(id_) : std::nullopt;
+}
+
 void Client::markUndecided(double sentByMs) {
   if (!id_.empty() && environment_.requestLog.entry(id_).sentMs <= sentByMs)
     environment_.requestLog.entry(id_).undecided = true;
--- a/soak/client.h
+++ b/soak/client.h
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "environment.h"
@@ -22,6 +23,8 @@
   void useOpenConnections() { onlyOpen_ = true; }
   void stop() { stopped_ = true; }
   bool busy() const { return call_ != nullptr; }
+  /// The open request, if it was sent after this time and its stream has begun.
+  std::optional<std::string> streamSentAfter(double sentMs) const;
   /// What is open and was sent by then cannot be judged any more.
   void markUndecided(double sentByMs = HUGE_VAL);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -31,7 +31,7 @@
 
 // On a busy machine a play may be late without any fault of the program.
 bool dependsOnSpeed(const std::string& rule) {
-  constexpr std::array kRules{"lost", "gone", "deadline", "drain", "ready", "end", "held"};
+  constexpr std::array kRules{"lost", "gone", "deadline", "drain", "ready", "held"};
   return std::find(kRules.begin(), kRules.end(), rule) != kRules.end();
 }
 
@@ -55,8 +55,9 @@
 void tell(const Plan& plan, const Outcome& outcome) {
   std::cout << "seed " << plan.seed << ": " << outcome.requests << " requests, " << outcome.served
             << " served, " << outcome.undecided << " undecided, held for "
-            << std::lround(outcome.maxHeldMs) << " ms at most, " << outcome.violations.size()
-            << " breaks" << std::endl;
+            << std::lround(outcome.maxHeldMs) << " ms at most, " << outcome.killedAfterSigterm
+            << " routers killed after SIGTERM, " << outcome.violations.size() << " breaks"
+            << std::endl;
   std::map<std::string, int> byRule;
   for (const Violation& one : outcome.violations)
     if (++byRule[one.rule] <= 3)
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -17,6 +17,8 @@
   std::vector<Violation> violations;
   std::size_t requests = 0, served = 0, undecided = 0;
   double maxHeldMs = 0;  ///< that anything was held with no attempt out
+  /// Routers that still ran when SIGKILL followed SIGTERM.
+  std::size_t killedAfterSigterm = 0;
   /// What each router's discovery saw at its last address, by the number of the router.
   std::vector<DiscoveryUse> discovery = {};
 };
