--- a/src/core/document_reader.cpp
+++ b/src/core/document_reader.cpp
@@ -19,7 +19,8 @@
   json takeDocument() { return std::move(document_); }
   const std::optional<DocumentError>& error() const { return error_; }
 
-  // ---- The parser's events; false stops the parser
+  // ---- The parser's events, by the names that the library asks for; false stops the parser
+  // NOLINTBEGIN(readability-identifier-naming)
 
   bool null() { return place(nullptr); }
   bool boolean(bool value) { return place(value); }
@@ -40,6 +41,8 @@
     return stop(DocumentFault::kMalformed, error.what());
   }
 
+  // NOLINTEND(readability-identifier-naming)
+
  private:
   bool place(json value) {
     if (!count())
