--- a/review/stand_ins-2/stand_in.cpp
+++ b/review/stand_ins-2/stand_in.cpp
@@ -1,7 +1,7 @@
 // Stand-ins for the review's cases: boxes and clients of the chat API, and a caller of the operators' door.
 // Needs nothing but POSIX. Each role is a process of its own:
 //
-//   stand_in box NAME PORT ROLE FIRST_MS EVENTS GAP_MS
+//   stand_in box NAME PORT ROLE FIRST_MS EVENTS GAP_MS [IDLE_MS]
 //       ROLE read: answers 202 after FIRST_MS. write, both: the first event after FIRST_MS, then one each
 //       GAP_MS; a stream with usage and [DONE]. Grants each place that is asked for, accepts each release.
 //   stand_in client NAME PORT KEY MODEL COUNT INTERVAL_MS PATIENCE_MS [whole]
@@ -148,11 +148,18 @@
   std::string name, role;
   double firstMs = 0, gapMs = 0;
   int events = 0;
+  double idleMs = 1e9;
 
   void serve(int fd) const {
     std::string buffer;
     Request request;
-    while (readRequest(fd, buffer, request)) {
+    for (double idleSince = nowMs(); readRequest(fd, buffer, request); idleSince = nowMs()) {
+      if (nowMs() - idleSince > idleMs) {
+        say("box " + name + " has forgotten a connection");
+        const linger atOnce{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+        break;
+      }
       const std::string line = request.head.substr(0, request.head.find("\r\n"));
       if (line.rfind("DELETE ", 0) == 0) {
         sendAll(fd, "HTTP/1.1 204 No Content\r\n\r\n");
@@ -193,7 +200,8 @@
 };
 
 int runBox(const std::vector<std::string>& a) {
-  const Box box{a[0], a[2], std::atof(a[3].c_str()), std::atof(a[5].c_str()), std::atoi(a[4].c_str())};
+  const Box box{a[0], a[2], std::atof(a[3].c_str()), std::atof(a[5].c_str()), std::atoi(a[4].c_str()),
+                a.size() > 6 ? std::atof(a[6].c_str()) : 1e9};
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -332,7 +340,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const std::vector<std::string> a(argv + std::min(argc, 2), argv + argc);
   const std::string role = argc > 1 ? argv[1] : "";
-  if (role == "box" && a.size() == 6)
+  if (role == "box" && a.size() >= 6)
     return runBox(a);
   if (role == "client" && a.size() >= 7)
     return runClient(a);
