--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-g++ -std=c++20 -O2 -pthread -o build/review-2/stand_in review/stand_ins-2/stand_in.cpp
-g++ -std=c++20 -O2 -pthread -o build/review-2/etcd review/stand_ins-2/etcd.cpp
+g++ -std=c++20 -O2 -Wall -Wextra -pthread -o build/review-2/stand_in review/stand_ins-2/stand_in.cpp
+g++ -std=c++20 -O2 -Wall -Wextra -pthread -o build/review-2/etcd review/stand_ins-2/etcd.cpp
--- a/review/stand_ins-2/stand_in.cpp
+++ b/review/stand_ins-2/stand_in.cpp
@@ -1,4 +1,5 @@
-// Stand-ins for the review's cases: boxes and clients of the chat API, and a caller of the operators' door.
+// Stand-ins for the review's cases: boxes and clients of the chat API and of the platform, discovery's agent, and a
+// caller of the operators' door.
 // Needs nothing but POSIX. Each role is a process of its own:
 //
 //   stand_in box NAME PORT ROLE FIRST_MS EVENTS GAP_MS [IDLE_MS]
@@ -7,6 +8,8 @@
 //   stand_in client NAME PORT KEY MODEL COUNT INTERVAL_MS PATIENCE_MS [whole]
 //       COUNT requests, one each INTERVAL_MS, each on a connection of its own; connects again while nobody
 //       listens. A request is a stream unless `whole` is given.
+//   stand_in platform-client NAME PORT CLASS COUNT INTERVAL_MS BUDGET_MS     the same in the platform's protocol
+//   stand_in agent PORT LIST           discovery's agent: tells LIST, a JSON document, and then that nothing changes
 //   stand_in door PORT LINE            one call at the operators' door; prints the answer
 //   stand_in plan PORT SECONDS         prints each change of a box's state in the maintenance plan
 //   stand_in ports COUNT               prints ports that nobody uses just now
@@ -167,7 +170,8 @@
         say("box " + name + " holds " + line.substr(22, line.find(' ', 22) - 22));
         sendAll(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
       } else if (line.rfind("POST /v1/chat/completions", 0) == 0) {
-        if (!answer(fd, header(request.head, "X-Request-Id")))
+        const std::string id = header(request.head, "X-Request-Id");
+        if (!answer(fd, id.empty() ? header(request.head, "X-Call-Id") : id))
           break;
       } else {
         sendAll(fd, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
@@ -178,6 +182,12 @@
 
   bool answer(int fd, const std::string& id) const {
     say("box " + name + " gets " + id);
+    std::string ignored;
+    if (firstMs < 0) {
+      while (receive(fd, ignored, nowMs() + 3.6e6) == 1) {
+      }
+      return false;
+    }
     sleepMs(firstMs);
     if (role == "read") {
       const std::string body = "{\"cached_tokens\":0}";
@@ -242,45 +252,100 @@
   return answer.find("\r\n0\r\n\r\n", head) != std::string::npos || answer.find("0\r\n\r\n", head + 4) == head + 4;
 }
 
-void oneRequest(const std::string& name, int port, const std::string& key, const std::string& model, double patienceMs,
-                bool whole) {
+// Sends one request, head and body, on a connection of its own, and says how it is answered.
+void oneRequest(const std::string& name, int port, const std::string& request, double patienceMs, bool whole) {
   const double giveUpMs = nowMs() + patienceMs;
   int fd = -1;
   while ((fd = connectTo(port)) < 0 && nowMs() < giveUpMs)
     sleepMs(1);
   if (fd < 0)
     return say("client " + name + " never connected");
-  const std::string body = "{\"model\":\"" + model + "\",\"stream\":" + (whole ? "false" : "true") +
-                           ",\"max_tokens\":50,\"messages\":[{\"role\":\"user\",\"content\":\"question " + name + "\"}]}";
-  const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: site\r\nAuthorization: Bearer " + key +
-                           "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
-                           std::to_string(body.size()) + "\r\n\r\n";
   say("client " + name + " sends");
   std::string answer;
-  int end = sendAll(fd, head + body) ? 1 : -1;
+  int end = sendAll(fd, request) ? 1 : -1;
   while (end == 1 && !isComplete(answer))
     end = receive(fd, answer, giveUpMs);
   ::close(fd);
   say("client " + name + " id=" + header(answer, "X-Request-Id") + " outcome: " + outcomeOf(end, answer, whole));
 }
 
-int runClient(const std::vector<std::string>& a) {
-  const int count = std::atoi(a[4].c_str());
-  const double intervalMs = std::atof(a[5].c_str());
+// Starts COUNT requests, which makeRequest makes by their number, and waits for all answers.
+template <class MakeRequest>
+int runRequests(const std::string& name,
+                int port,
+                int count,
+                double intervalMs,
+                double patienceMs,
+                bool whole,
+                const MakeRequest& makeRequest) {
   std::vector<std::thread> threads;
   const double startMs = nowMs();
   for (int i = 0; i < count; ++i) {
     sleepMs(startMs + i * intervalMs - nowMs());
-    threads.emplace_back([&a, i] {
-      oneRequest(a[0] + "-" + std::to_string(i), std::atoi(a[1].c_str()), a[2], a[3], std::atof(a[6].c_str()),
-                 a.size() > 7);
-    });
+    const std::string each = name + "-" + std::to_string(i);
+    threads.emplace_back(oneRequest, each, port, makeRequest(each), patienceMs, whole);
   }
   for (std::thread& thread : threads)
     thread.join();
   return 0;
 }
 
+std::string requestText(const std::string& fields, const std::string& body) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: site\r\nContent-Type: application/json\r\n" + fields +
+         "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string bodyText(const std::string& model, bool whole, const std::string& name) {
+  return "{\"model\":\"" + model + "\",\"stream\":" + (whole ? "false" : "true") +
+         ",\"max_tokens\":50,\"messages\":[{\"role\":\"user\",\"content\":\"question " + name + "\"}]}";
+}
+
+int runClient(const std::vector<std::string>& a) {
+  const bool whole = a.size() > 7;
+  return runRequests(a[0], std::atoi(a[1].c_str()), std::atoi(a[4].c_str()), std::atof(a[5].c_str()),
+                     std::atof(a[6].c_str()), whole, [&](const std::string& each) {
+                       return requestText("Authorization: Bearer " + a[2] + "\r\n", bodyText(a[3], whole, each));
+                     });
+}
+
+// A platform's client waits for its answer beyond its budget, to see whether one comes.
+int runPlatformClient(const std::vector<std::string>& a) {
+  return runRequests(a[0], std::atoi(a[1].c_str()), std::atoi(a[3].c_str()), std::atof(a[4].c_str()),
+                     std::atof(a[5].c_str()) + 5000, false, [&](const std::string& each) {
+                       return requestText("X-Call-Id: " + each + "\r\nX-Call-Class: " + a[2] +
+                                              "\r\nX-Caller: athens-club\r\nX-Route-Hash: " + each + "\r\nX-Budget-Ms: " +
+                                              a[5] + "\r\nX-Call-Info: prompt_len=40,prefix_len=0,max_out=50\r\n",
+                                          bodyText("chat", false, each));
+                     });
+}
+
+// ---- Discovery
+
+void serveList(int fd, const std::string& list) {
+  std::string buffer;
+  Request request;
+  if (readRequest(fd, buffer, request) &&
+      sendAll(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n") &&
+      chunk(fd, list + "\n"))
+    while (receive(fd, buffer, nowMs() + 2000) == -2 && chunk(fd, "\n")) {
+    }
+  ::close(fd);
+}
+
+int runAgent(int port, const std::string& list) {
+  const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = loopback(port);
+  if (::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || ::listen(listener, 16) != 0)
+    return 2;
+  for (;;) {
+    const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd >= 0)
+      std::thread([fd, list] { serveList(fd, list); }).detach();
+  }
+}
+
 // ---- The operators' door
 
 std::string callDoor(int port, const std::string& line) {
@@ -344,6 +409,10 @@
     return runBox(a);
   if (role == "client" && a.size() >= 7)
     return runClient(a);
+  if (role == "platform-client" && a.size() == 6)
+    return runPlatformClient(a);
+  if (role == "agent" && a.size() == 2)
+    return runAgent(std::atoi(a[0].c_str()), a[1]);
   if (role == "door" && a.size() == 2)
     return std::fputs(callDoor(std::atoi(a[0].c_str()), a[1]).c_str(), stdout) < 0;
   if (role == "plan" && a.size() == 2)
