--- a/review/stand_ins-2/stand_in.cpp
+++ b/review/stand_ins-2/stand_in.cpp
@@ -8,7 +8,8 @@
 //   stand_in client NAME PORT KEY MODEL COUNT INTERVAL_MS PATIENCE_MS [whole]
 //       COUNT requests, one each INTERVAL_MS, each on a connection of its own; connects again while nobody
 //       listens. A request is a stream unless `whole` is given.
-//   stand_in platform-client NAME PORT CLASS COUNT INTERVAL_MS BUDGET_MS     the same in the platform's protocol
+//   stand_in platform-client NAME PORT CLASS COUNT INTERVAL_MS BUDGET_MS [SLOW_MS]
+//       The same in the platform's protocol. With SLOW_MS the last bytes of a request follow so much later.
 //   stand_in agent PORT LIST           discovery's agent: tells LIST, a JSON document, and then that nothing changes
 //   stand_in door PORT LINE            one call at the operators' door; prints the answer
 //   stand_in plan PORT SECONDS         prints each change of a box's state in the maintenance plan
@@ -253,7 +254,12 @@
 }
 
 // Sends one request, head and body, on a connection of its own, and says how it is answered.
-void oneRequest(const std::string& name, int port, const std::string& request, double patienceMs, bool whole) {
+void oneRequest(const std::string& name,
+                int port,
+                const std::string& request,
+                double patienceMs,
+                bool whole,
+                double slowMs) {
   const double giveUpMs = nowMs() + patienceMs;
   int fd = -1;
   while ((fd = connectTo(port)) < 0 && nowMs() < giveUpMs)
@@ -262,7 +268,13 @@
     return say("client " + name + " never connected");
   say("client " + name + " sends");
   std::string answer;
-  int end = sendAll(fd, request) ? 1 : -1;
+  const std::size_t first = slowMs > 0 ? request.size() - 10 : request.size();
+  int end = sendAll(fd, request.substr(0, first)) ? 1 : -1;
+  if (slowMs > 0) {
+    sleepMs(slowMs);
+    end = sendAll(fd, request.substr(first)) ? 1 : -1;
+    say("client " + name + " has sent all");
+  }
   while (end == 1 && !isComplete(answer))
     end = receive(fd, answer, giveUpMs);
   ::close(fd);
@@ -277,13 +289,14 @@
                 double intervalMs,
                 double patienceMs,
                 bool whole,
+                double slowMs,
                 const MakeRequest& makeRequest) {
   std::vector<std::thread> threads;
   const double startMs = nowMs();
   for (int i = 0; i < count; ++i) {
     sleepMs(startMs + i * intervalMs - nowMs());
     const std::string each = name + "-" + std::to_string(i);
-    threads.emplace_back(oneRequest, each, port, makeRequest(each), patienceMs, whole);
+    threads.emplace_back(oneRequest, each, port, makeRequest(each), patienceMs, whole, slowMs);
   }
   for (std::thread& thread : threads)
     thread.join();
@@ -303,7 +316,7 @@
 int runClient(const std::vector<std::string>& a) {
   const bool whole = a.size() > 7;
   return runRequests(a[0], std::atoi(a[1].c_str()), std::atoi(a[4].c_str()), std::atof(a[5].c_str()),
-                     std::atof(a[6].c_str()), whole, [&](const std::string& each) {
+                     std::atof(a[6].c_str()), whole, 0, [&](const std::string& each) {
                        return requestText("Authorization: Bearer " + a[2] + "\r\n", bodyText(a[3], whole, each));
                      });
 }
@@ -311,7 +324,7 @@
 // A platform's client waits for its answer beyond its budget, to see whether one comes.
 int runPlatformClient(const std::vector<std::string>& a) {
   return runRequests(a[0], std::atoi(a[1].c_str()), std::atoi(a[3].c_str()), std::atof(a[4].c_str()),
-                     std::atof(a[5].c_str()) + 5000, false, [&](const std::string& each) {
+                     std::atof(a[5].c_str()) + 5000, false, a.size() > 6 ? std::atof(a[6].c_str()) : 0, [&](const std::string& each) {
                        return requestText("X-Call-Id: " + each + "\r\nX-Call-Class: " + a[2] +
                                               "\r\nX-Caller: athens-club\r\nX-Route-Hash: " + each + "\r\nX-Budget-Ms: " +
                                               a[5] + "\r\nX-Call-Info: prompt_len=40,prefix_len=0,max_out=50\r\n",
@@ -409,7 +422,7 @@
     return runBox(a);
   if (role == "client" && a.size() >= 7)
     return runClient(a);
-  if (role == "platform-client" && a.size() == 6)
+  if (role == "platform-client" && a.size() >= 6)
     return runPlatformClient(a);
   if (role == "agent" && a.size() == 2)
     return runAgent(std::atoi(a[0].c_str()), a[1]);
