--- a/review/stand_ins-2/case.sh
+++ b/review/stand_ins-2/case.sh
@@ -5,7 +5,7 @@
 stand_in=$root/build/review-2/stand_in
 router=$root/build/inference-router
 trouble=${TROUBLE:-1}
-pids=()
+max_seconds=100 # and no foreground command takes over 12 s more, so a case ends within 120 s
 
 # Leaves the case with 2: it could not run.
 cannot() {
@@ -15,7 +15,8 @@
 
 finish() {
   local code=$?
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+  # The shell's own jobs alone: the id of one that has ended may belong to another process by now.
+  for pid in $(jobs -p); do kill -KILL "$pid"; done 2>/dev/null
   wait 2>/dev/null
   rm -rf "$folder"
   exit "$code"
@@ -25,11 +26,12 @@
   here=$(cd "$(dirname "$0")" && pwd)
   record=$here/record.txt
   : >"$record"
-  folder=$(mktemp -d)
+  folder=$(mktemp -d) || exit 2
   trap finish EXIT
   trap 'exit 2' INT TERM
   [ -x "$stand_in" ] && [ -x "$router" ] || cannot "build the program and run review/build-2.sh"
   cd "$root" || exit 2
+  "$stand_in" limit "$max_seconds" $$ &
   note "case $(basename "$here"), TROUBLE=$trouble"
 }
 
@@ -39,7 +41,15 @@
 start() {
   "$stand_in" "$@" >>"$record" 2>&1 &
   started=$!
-  pids+=("$started")
+}
+
+# Waits until so many boxes listen: a port may have been taken meanwhile.
+wait_boxes() {
+  for _ in $(seq 100); do
+    [ "$(grep -c ' listens$' "$record")" -ge "$1" ] && return 0
+    sleep 0.05
+  done
+  cannot "a box does not listen"
 }
 
 # Starts a router with the operator's file; its log is $folder/NAME.log.
@@ -47,7 +57,6 @@
   # Each router runs as the deploy file starts it, but with an operator's file.
   (exec "$router" serve --operator "$2" >>"$folder/$1.log" 2>&1) &
   started=$!
-  pids+=("$started")
 }
 
 # Waits until a router answers `ok` at its door.
--- a/review/stand_ins-2/stand_in.cpp
+++ b/review/stand_ins-2/stand_in.cpp
@@ -14,6 +14,7 @@
 //   stand_in door PORT LINE            one call at the operators' door; prints the answer
 //   stand_in plan PORT SECONDS         prints each change of a box's state in the maintenance plan
 //   stand_in ports COUNT               prints ports that nobody uses just now
+//   stand_in limit SECONDS PID         ends that process, the script, after so long
 //   stand_in now                       prints the clock that all lines begin with
 //
 // Every line of output begins with milliseconds of the monotonic clock, which all processes share.
@@ -27,8 +28,9 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
+#include <cctype>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -432,6 +434,10 @@
     return runPlan(std::atoi(a[0].c_str()), std::atof(a[1].c_str()));
   if (role == "ports" && a.size() == 1)
     return printFreePorts(std::atoi(a[0].c_str()));
+  if (role == "limit" && a.size() == 2) {
+    sleepMs(std::atof(a[0].c_str()) * 1000);
+    return ::kill(std::atoi(a[1].c_str()), SIGTERM) == 0 ? 0 : 2;
+  }
   if (role == "now") {
     std::printf("%.1f\n", nowMs());
     return 0;
