--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A conductor's process is replaced while instances hang, where clients do not resume streams. Are the requests answered that
 # come to it over 0.7 s after SIGTERM? 0: yes; 1: no; 2: could not run. TROUBLE=0: the same without instances that hang.
-. "$(dirname "$0")/../stand_ins-2/case.sh"
+. "$(dirname "$0")/../stand_ins-2/case.sh" || exit 2
 begin
 
 read -r listen discovery d1 d2 ports < <("$stand_in" ports 16)
@@ -29,11 +29,11 @@
   (GW_NAME=n1 GW_LISTEN=127.0.0.1:$listen GW_DISCOVERY=127.0.0.1:$discovery GW_CONFIG=$folder/config.json \
     GW_ADMIN_ADDR=127.0.0.1:$1 TMPDIR=$folder/shared exec "$router" serve >>"$folder/$1.log" 2>&1) &
   started=$!
-  pids+=("$started")
 }
 
 start_process "$d1"
 old=$started
+wait_boxes 12
 wait_ready "$d1"
 start platform-client booking "$listen" membership-changes 4 10 6000
 clients=("$started")
