--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A planned restart (SIGTERM) of one of two conductors that share a bill. Is all that it served billed?
 # 0: yes; 1: no; 2: could not run. TROUBLE=0: the same requests without SIGTERM.
-. "$(dirname "$0")/../stand_ins-2/case.sh"
+. "$(dirname "$0")/../stand_ins-2/case.sh" || exit 2
 begin
 
 read -r l1 d1 l2 d2 b1 b2 < <("$stand_in" ports 6)
@@ -17,6 +17,7 @@
   start_router "c$n" "$folder/c$n.json"
 done
 second=$started
+wait_boxes 2
 wait_ready "$d1"
 wait_ready "$d2"
 # The first requests may wait for a loan; what is served of them counts as well.
