Log and count what is sent to each instance in slow start, and what is denied

The module logs begin (age, news) and end (sent, denied by reason) of each slow start, and counts both: slow_start.sent, slow_start.denied.REASON. No decision changes. Test: SlowStart.IsLoggedWithItsNewsAndWhatWasSentAndDenied.

--- a/include/inference_router/router.h
+++ b/include/inference_router/router.h
@@ -13,6 +13,7 @@
 #include "inference_router/actions.h"
 #include "inference_router/events.h"
 #include "inference_router/settings.h"
+#include "inference_router/slow_start_totals.h"
 #include "inference_router/types.h"
 
 namespace inference_router::routing {
@@ -43,6 +44,9 @@
   /// Whether a listed instance currently gets no requests because it is ejected or silent.
   bool avoids(Time now, const InstanceId& instance) const;
 
+  /// What was sent to instances in slow start, and what was not.
+  const SlowStartTotals& slowStartTotals() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/core/decision_loop.h
+++ b/src/core/decision_loop.h
@@ -41,6 +41,8 @@
   /// Whether the decision module sends no requests to a listed instance for now, as the instance is
   /// ejected or silent.
   bool isEjectedOrSilent(const routing::InstanceId& instance) const;
+  /// What was sent to instances in slow start, and what was not.
+  const routing::SlowStartTotals& slowStartTotals() const { return router_.slowStartTotals(); }
 
   /// Sets the observer that gets every action before it is executed. There is at most one.
   void onAction(std::function<void(const routing::Action&)> observer);
--- a/src/core/request_dispatcher.cpp
+++ b/src/core/request_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "core/request_dispatcher.h"
 
+#include <string>
 #include <utility>
 
 namespace inference_router::core {
@@ -24,7 +25,11 @@
             seed,
             clock,
             {.execute = [this](const Action& action) { executor_.execute(action); },
-             .onEventHandled = [this] { lifecycle_.cancelAbandoned(); },
+             .onEventHandled =
+                 [this] {
+                   lifecycle_.cancelAbandoned();
+                   countSlowStart();
+                 },
              .onIdle =
                  [this](const std::vector<RequestId>& requests) {
                    for (const RequestId& request : requests)
@@ -99,6 +104,18 @@
   lifecycle_.abandonRequest(key);
 }
 
+void RequestDispatcher::countSlowStart() {
+  const SlowStartTotals& totals = loop_.slowStartTotals();
+  if (totals == slowStartCounted_)
+    return;
+  slowStartCounted_ = totals;
+  context_.counters["slow_start.sent"] = totals.sent;
+  for (std::size_t i = 0; i < totals.denied.size(); ++i) {
+    const std::string reason = nameOf(static_cast<SlowStartDenial>(i));
+    context_.counters["slow_start.denied." + reason] = totals.denied[i];
+  }
+}
+
 void RequestDispatcher::clientReady(RequestKey key) {
   const RequestState* request = context_.requests.find(key);
   if (request == nullptr || !request->facts.streaming)
--- a/src/core/request_dispatcher.h
+++ b/src/core/request_dispatcher.h
@@ -147,6 +147,7 @@
  private:
   void configure(const routing::Settings& settings);
   void failOverdue(RequestKey key);
+  void countSlowStart();
   bool beginStream(AttemptKey key, std::string_view part);
 
   DispatchContext context_;
@@ -155,6 +156,7 @@
   RequestGuard guard_;
   StreamMigration migration_;
   ActionExecutor executor_;
+  routing::SlowStartTotals slowStartCounted_;
   double answerGraceMs_ = 0;
   bool streamResumption_ = false;
 };
--- a/src/routing/instance.h
+++ b/src/routing/instance.h
@@ -9,6 +9,7 @@
 #include "inference_router/types.h"
 #include "routing/ejection_state.h"
 #include "routing/slow_start_budget.h"
+#include "routing/slow_start_record.h"
 
 namespace inference_router::routing {
 
@@ -36,6 +37,7 @@
 
   EjectionState ejection;
   SlowStartBudget slowStart;
+  SlowStartRecord slowStartRecord;
 
   /// Whether the endpoint list contains it as active.
   bool isListed() const { return !drainingSince; }
--- a/src/routing/instance_registry.cpp
+++ b/src/routing/instance_registry.cpp
@@ -29,11 +29,16 @@
     for (auto& [id, instance] : instances_)
       markDraining(instance, EndpointState::kRemoved, drainsSince);
   }
+  const SlowStartNews newsOfAdded =
+      instances_.empty() ? SlowStartNews::kFirstList : SlowStartNews::kAdded;
   for (const EndpointRecord& entry : update.entries)
-    applyEndpoint(entry, now, drainsSince);
+    applyEndpoint(entry, newsOfAdded, now, drainsSince);
 }
 
-void InstanceRegistry::applyEndpoint(const EndpointRecord& entry, Time now, Time drainsSince) {
+void InstanceRegistry::applyEndpoint(const EndpointRecord& entry,
+                                     SlowStartNews newsOfAdded,
+                                     Time now,
+                                     Time drainsSince) {
   if (entry.kind.value >= settings_.kinds.size())
     return;
   auto [found, added] = instances_.try_emplace(entry.instance);
@@ -44,8 +49,10 @@
   instance.role = settings_.kinds[entry.kind.value].role;
   if (added)
     instance.ejection.assumeHealthy();
-  if (added || restarted)
+  if (added || restarted) {
+    instance.slowStartRecord = {.news = added ? newsOfAdded : SlowStartNews::kRestarted};
     instance.slowStart.reset(stableHash(seed_, entry.instance.value), settings_.nodes, now);
+  }
   if (restarted)
     instance.ejection.reinstate();
   if (entry.state == EndpointState::kActive)
--- a/src/routing/instance_registry.h
+++ b/src/routing/instance_registry.h
@@ -34,7 +34,10 @@
   void eraseRemoved(const RequestMap& requests, Time now);
 
  private:
-  void applyEndpoint(const EndpointRecord& entry, Time now, Time drainsSince);
+  void applyEndpoint(const EndpointRecord& entry,
+                     SlowStartNews newsOfAdded,
+                     Time now,
+                     Time drainsSince);
 
   const Settings& settings_;
   std::string seed_;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -62,6 +62,7 @@
     if (shutdown_.hasBegun())
       continueShutdown(context);
     processQueue(context);
+    slowStart_.report(context);
     pollEndpoints(context);
     armTimer(context);
   }
@@ -72,6 +73,8 @@
            (instance->ejection.ejected || availability_.isSilent(*instance, now));
   }
 
+  const SlowStartTotals& slowStartTotals() const { return slowStart_.totals(); }
+
  private:
   void start(EventContext& context) {
     started_ = true;
@@ -90,6 +93,7 @@
     registry_.apply(update, context.now());
     registry_.eraseRemoved(requests_, context.now());
     cells_.update(registry_.instances(), settings_, context.now());
+    slowStart_.endpointsChanged();
   }
 
   void on(const Arrival& arrival, EventContext& context) {
@@ -297,6 +301,10 @@
   return impl_->avoids(now, instance);
 }
 
+const SlowStartTotals& Router::slowStartTotals() const {
+  return impl_->slowStartTotals();
+}
+
 void Router::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -1,7 +1,9 @@
 #include "routing/slow_start.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
+#include <string>
 
 #include "routing/constants.h"
 #include "routing/duration_math.h"
@@ -12,9 +14,21 @@
 // Weight of unlisted instances that a recently started node assumes for a role if all of its listed
 // instances are in slow start: the rest of the fleet may have failed along with them.
 constexpr double kUnlistedWeight = 8;
+// Interval at which ends of slow starts are looked for.
+constexpr Duration kReportInterval = std::chrono::milliseconds{500};
 
 }  // namespace
 
+const char* nameOf(SlowStartDenial denial) {
+  switch (denial) {
+    case SlowStartDenial::kBudgetUsed:
+      return "budget_used";
+    case SlowStartDenial::kCount:
+      break;
+  }
+  return "";
+}
+
 RoleWeights SlowStart::weights(Role role, Time now) const {
   RoleWeights weights;
   weights.fullFleet =
@@ -50,7 +64,12 @@
       request.slowStartOfferedAt.try_emplace(request.phase, now).first->second;
   const SlowStartOffer offer{warmDispatchesPerWindow, candidates.offeredWeight / weights.fullFleet,
                              candidates.instanceShare, offeredSince};
-  return instance.slowStart.admits(settings_, instance.endpoint.started, offer, now);
+  if (instance.slowStart.admits(settings_, instance.endpoint.started, offer, now))
+    return true;
+  constexpr auto kReason = static_cast<std::size_t>(SlowStartDenial::kBudgetUsed);
+  ++instance.slowStartRecord.denied[kReason];
+  ++totals_.denied[kReason];
+  return false;
 }
 
 // Number of requests of this node for the role in one time constant; extrapolated while the node
@@ -66,6 +85,45 @@
 void SlowStart::countDispatch(Instance& instance, Time now) {
   instance.slowStart.countDispatch(settings_.contract, now);
   dispatches_[roleIndex(instance.role)].add(1, now, kTrafficTimeConstant);
+  if (warmFraction(settings_, instance, now) >= 1)
+    return;
+  ++instance.slowStartRecord.sent;
+  ++totals_.sent;
+}
+
+void SlowStart::report(EventContext& context) {
+  if (context.now() < reportAt_)
+    return;
+  reportAt_ = context.now() + kReportInterval;
+  for (auto& [id, instance] : registry_.instances()) {
+    const bool inSlowStart =
+        instance.isListed() && warmFraction(settings_, instance, context.now()) < 1;
+    if (inSlowStart == instance.slowStartRecord.reported)
+      continue;
+    instance.slowStartRecord.reported = inSlowStart;
+    if (inSlowStart)
+      logBegin(instance, context);
+    else
+      logEnd(instance, context);
+  }
+}
+
+void SlowStart::logBegin(Instance& instance, EventContext& context) const {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      context.now() - *instance.endpoint.started);
+  context.log("slow start of " + instance.endpoint.instance.value + ": started " +
+              std::to_string(age.count()) +
+              " ms ago, known by: " + nameOf(instance.slowStartRecord.news));
+}
+
+void SlowStart::logEnd(Instance& instance, EventContext& context) {
+  const SlowStartRecord& record = instance.slowStartRecord;
+  std::string text = "slow start of " + instance.endpoint.instance.value + " over: sent " +
+                     std::to_string(record.sent);
+  for (std::size_t i = 0; i < record.denied.size(); ++i)
+    text += std::string(", denied as ") + nameOf(static_cast<SlowStartDenial>(i)) + " " +
+            std::to_string(record.denied[i]);
+  context.log(text);
 }
 
 }  // namespace inference_router::routing
--- a/src/routing/slow_start.h
+++ b/src/routing/slow_start.h
@@ -7,6 +7,7 @@
 #include "inference_router/types.h"
 #include "routing/cell_plan.h"
 #include "routing/decaying_sum.h"
+#include "routing/event_context.h"
 #include "routing/instance_registry.h"
 #include "routing/key_popularity.h"
 #include "routing/request_record.h"
@@ -36,7 +37,7 @@
  public:
   /// All must outlive the object.
   SlowStart(const Settings& settings,
-            const InstanceRegistry& registry,
+            InstanceRegistry& registry,
             const CellPlan& cells,
             const KeyPopularity& popularity)
       : settings_(settings), registry_(registry), cells_(cells), popularity_(popularity) {}
@@ -59,18 +60,31 @@
   /// Counts a request, or a reservation for one, sent to the instance.
   void countDispatch(Instance& instance, Time now);
 
+  /// Logs the slow starts that began or ended. Looks for them at intervals, and at once after
+  /// endpointsChanged().
+  void report(EventContext& context);
+
+  /// The endpoint list has changed.
+  void endpointsChanged() { reportAt_ = Time{}; }
+
+  const SlowStartTotals& totals() const { return totals_; }
+
  private:
   bool recentlyStarted(Time now) const {
     return now - startedAt_ < settings_.contract.warmupDuration;
   }
   double ownDemand(Role role, Time now) const;
+  void logBegin(Instance& instance, EventContext& context) const;
+  static void logEnd(Instance& instance, EventContext& context);
 
   const Settings& settings_;
-  const InstanceRegistry& registry_;
+  InstanceRegistry& registry_;
   const CellPlan& cells_;
   const KeyPopularity& popularity_;
   std::array<DecayingSum, kRoleCount> dispatches_;
   Time startedAt_{};
+  Time reportAt_{};
+  SlowStartTotals totals_;
 };
 
 }  // namespace inference_router::routing
--- a/tests/router_harness.h
+++ b/tests/router_harness.h
@@ -144,6 +144,7 @@
   Time now() const { return now_; }
   bool hasTimer() const { return !timers_.empty(); }
   const std::vector<Action>& actions() const { return actions_; }
+  const SlowStartTotals& slowStartTotals() const { return router_.slowStartTotals(); }
 
  private:
   Settings settings_;
--- a/tests/router_health_test.cpp
+++ b/tests/router_health_test.cpp
@@ -1,5 +1,6 @@
 // Tests with instances that drain, start, fail or stop responding.
 #include <map>
+#include <numeric>
 
 #include "router_scenarios.h"
 
@@ -131,6 +132,41 @@
   }
 }
 
+std::vector<std::string> logOf(const RouterHarness& router) {
+  std::vector<std::string> texts;
+  for (const LogMessage& message : router.actionsOf<LogMessage>())
+    texts.push_back(message.text);
+  return texts;
+}
+
+// Guards against an overload whose logs do not tell what was sent to the instance, and by which
+// news.
+TEST(SlowStart, IsLoggedWithItsNewsAndWhatWasSentAndDenied) {
+  RouterHarness router;
+  router.updateEndpoints({endpoint("r0", kPrefill), slowStarting("w0", kDecode, router.now())});
+  EXPECT_EQ(logOf(router),
+            std::vector<std::string>{"slow start of w0: started 0 ms ago, known by: first list"});
+  router.advance(1s).updateEndpoints({slowStarting("v0", kDecode, router.now())},
+                                     EndpointListForm::kChanges);
+  EXPECT_EQ(logOf(router),
+            std::vector<std::string>{"slow start of v0: started 0 ms ago, known by: added"});
+  router.advance(1s).updateEndpoints({slowStarting("v0", kDecode, router.now())},
+                                     EndpointListForm::kChanges);
+  EXPECT_EQ(logOf(router),
+            std::vector<std::string>{"slow start of v0: started 0 ms ago, known by: restarted"});
+  for (int i = 0; i < 40; ++i)
+    router.advance(100ms).arrive(numbered("a", i));
+  const SlowStartTotals totals = router.slowStartTotals();
+  EXPECT_GT(totals.sent, 0U);
+  EXPECT_GT(std::accumulate(totals.denied.begin(), totals.denied.end(), std::uint64_t{0}), 0U);
+  const std::vector<std::string> logged = logOf(router.advance(60s));
+  EXPECT_EQ(std::count_if(logged.begin(), logged.end(),
+                          [](const std::string& text) {
+                            return text.find(" over: sent ") != std::string::npos;
+                          }),
+            2);
+}
+
 TEST(SlowStart, NewDecodeInstanceGetsFewerReservationsThanItsWarmPeer) {
   RouterHarness router;
   router.updateEndpoints({endpoint("r0", kPrefill), endpoint("w0", kDecode)});
