Soak: instances in slow start fall when all routers together send them too much

The emulated instances never fell, so the soak had no rule for slow start. They now count, on arrival and over all routers, the attempts that reach them, fall at N + 2 root N + 2 (under 30: N + 3 root N + 3) in one overload window, stay down, and the fall is judged by the share that came from routers that were told of the start. N is what the settings guarantee: the share that an instance starts with, until it is warm.

Each start of a router has a seed of its own, as on the platform.

--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -30,11 +30,11 @@
     client_.over(id_, /*resend=*/false);
   }
   // A connection that rests may end as the next request crosses its end: that one is sent once
-  // more.
+  // more. What a router had as it was killed is not: a further try has an id of its own.
   void failed(net::CallFailure) override {
     if (view().status != 0)
       view().answeredMs = client_.environment_.clock.nowMs();
-    const bool crossed = view().status == 0 && !client_.resent_ &&
+    const bool crossed = view().status == 0 && !client_.resent_ && !view().undecided &&
                          !(client_.call_ && client_.call_->isFirstOnConnection());
     if (!written_ && !crossed)
       view().undecided = true;  // nobody has taken it
--- a/soak/held_state_monitor.cpp
+++ b/soak/held_state_monitor.cpp
@@ -80,6 +80,11 @@
   std::erase_if(requests_, [&](const auto& entry) { return ofEnded(entry.first); });
 }
 
+void HeldStateMonitor::instanceEnded(int instance) {
+  for (auto& [request, entry] : requests_)
+    std::erase_if(entry.held, [instance](const auto& held) { return held.second == instance; });
+}
+
 std::vector<Violation> HeldStateMonitor::overdue(double nowMs) {
   std::vector<Violation> found;
   for (auto& [request, entry] : requests_) {
--- a/soak/held_state_monitor.h
+++ b/soak/held_state_monitor.h
@@ -37,6 +37,8 @@
 
   /// What a router process left as it ended counts no more.
   void forgive(const std::function<bool(const std::string& request)>& ofEnded);
+  /// An instance has ended, and what it held with it.
+  void instanceEnded(int instance);
   /// Breaks that have come about since the last call.
   std::vector<Violation> overdue(double nowMs);
   double maxHeldMs() const { return maxHeldMs_; }
--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -44,17 +44,57 @@
       kind_(std::move(kind)),
       answers_(answers),
       drainNotifiedMs_(std::move(drainNotifiedMs)),
-      listener_(environment.io,
-                address,
-                kConnections,
-                *this,
-                environment.clock,
-                environment.timers,
-                environment.counters) {}
+      address_(address) {
+  listen();
+}
+
+void Instance::listen() {
+  listeners_.push_back(std::make_unique<net::Listener>(environment_.io, address_, kConnections,
+                                                       *this, environment_.clock,
+                                                       environment_.timers, environment_.counters));
+}
+
+void Instance::goDown() {
+  if (std::exchange(down_, true))
+    return;
+  listeners_.back()->drain(0, [] {});
+  unread_.clear();
+  heldState_.instanceEnded(number_);
+  for (const auto& [key, weak] : std::exchange(connections_, {})) {
+    const auto connection = weak.lock();
+    if (!connection)
+      continue;
+    end(connection.get());
+    const auto state = connection->state();
+    if (state == net::ClientConnection::State::kAnswering ||
+        state == net::ClientConnection::State::kStreaming)
+      connection->abortResponse();
+  }
+}
+
+void Instance::goUp() {
+  if (fell_ || !std::exchange(down_, false))
+    return;
+  rejectsNewWork_ = false;
+  behaviour_ = Behaviour::kServes;
+  listen();
+}
+
+// An instance that fell stays down.
+bool Instance::falls(const std::string& request) {
+  if (!judge_ || !judge_(number_, request))
+    return false;
+  fell_ = true;
+  goDown();
+  return true;
+}
 
 void Instance::behave(Behaviour behaviour, double forMs) {
   behaviour_ = behaviour;
-  environment_.after(forMs, [this] {
+  environment_.after(forMs, [this, behaviour] {
+    if (behaviour == Behaviour::kHoldsArrivals)
+      for (Call& call : unread_)
+        call.arrivedMs = now();
     behaviour_ = Behaviour::kServes;
     readLate();
   });
@@ -62,13 +102,19 @@
 
 void Instance::readLate() {
   for (const Call& call : std::exchange(unread_, {}))
-    read(call);
+    if (!down_)
+      read(call);
 }
 
 void Instance::request(const std::shared_ptr<net::ClientConnection>& connection,
                        net::HttpRequest&& request,
                        double arrivedMs) {
+  if (down_)
+    return connection->abortResponse();
+  connections_[connection.get()] = connection;
   Call call{connection, std::move(request), arrivedMs};
+  if (behaviour_ == Behaviour::kHoldsArrivals)
+    return unread_.push_back(std::move(call));
   if (behaviour_ != Behaviour::kReadsNothing)
     return read(call);
   if (kind_ == "reader" && std::string(call.request.target()).rfind(kReservationPath, 0) != 0)
@@ -158,6 +204,8 @@
                                          "an attempt with an id that no client sent: " + id);
   const bool prefills = kind_ == "reader";
   noteSend(id, prefills ? Send::kPrefill : Send::kDecode, call);
+  if (falls(id))
+    return;
   if (prefills)
     heldState_.prefillArrived(id, number_, now());
   if (ignored || call.connection->state() != net::ClientConnection::State::kAnswering)
@@ -228,6 +276,7 @@
 void Instance::disconnected(net::ClientConnection& connection) {
   end(&connection);
   silence_.erase(&connection);
+  connections_.erase(&connection);
 }
 
 void Instance::reject(net::ClientConnection& connection, unsigned status, std::string_view why) {
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -22,6 +22,7 @@
   kResets,
   kRejects,
   kReadsNothing,   ///< a process that is stopped: what arrives is read once it goes on
+  kHoldsArrivals,  ///< what is sent to it arrives together afterwards
   kLosesAnswers,   ///< some connections carry no answer any more, from some moment on until they
                    ///< close
   kLosesRequests,  ///< some connections carry nothing any more in either direction
@@ -30,6 +31,9 @@
 /// When each router was told that an instance drains.
 using DrainNotifiedMs = std::function<std::optional<double>(int router, int instance)>;
 
+/// Told of each attempt that arrives at an instance; returns whether the instance falls by it.
+using AttemptJudge = std::function<bool(int instance, const std::string& request)>;
+
 /// What an instance of this fleet makes of a reservation whose prefill it cannot see running.
 enum class ReservationRule {
   kByArrival,  ///< granted where the bytes of the prefill came, be it unread
@@ -55,8 +59,14 @@
   void behave(Behaviour behaviour, double forMs);
   /// From now on attempts are turned away and reservations denied, as a draining instance may.
   void rejectNewWork() { rejectsNewWork_ = true; }
+  void setAttemptJudge(AttemptJudge judge) { judge_ = std::move(judge); }
+  /// The process ends: connections are reset, and new ones refused.
+  void goDown();
+  /// A process starts at the same address, unless the last one fell.
+  void goUp();
+  bool fell() const { return fell_; }
   const std::string& kind() const { return kind_; }
-  net::Endpoint address() const { return listener_.address(); }
+  const net::Endpoint& address() const { return address_; }
 
  private:
   using Connection = std::shared_ptr<net::ClientConnection>;
@@ -74,6 +84,8 @@
 
   void read(const Call& call);
   void readLate();
+  void listen();
+  bool falls(const std::string& request);
   void attempt(const Call& call, bool ignored);
   void prefill(const Connection& connection, const std::string& request);
   void decode(const Connection& connection, const std::string& request);
@@ -99,10 +111,14 @@
   DrainNotifiedMs drainNotifiedMs_;
   Behaviour behaviour_ = Behaviour::kServes;
   bool rejectsNewWork_ = false;
+  bool down_ = false, fell_ = false;
+  AttemptJudge judge_;
   std::vector<Call> unread_;
+  std::map<const net::ClientConnection*, std::weak_ptr<net::ClientConnection>> connections_;
   std::map<const net::ClientConnection*, Running> running_;
   std::map<const net::ClientConnection*, Silence> silence_;
-  net::Listener listener_;
+  net::Endpoint address_;
+  std::vector<std::unique_ptr<net::Listener>> listeners_;  // the last one may accept connections
 };
 
 }  // namespace inference_router::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -52,8 +52,10 @@
   std::cout << "seed " << plan.seed << ": " << outcome.requests << " requests, " << outcome.served
             << " served, " << outcome.undecided << " undecided, held for "
             << std::lround(outcome.maxHeldMs) << " ms at most, " << outcome.killedAfterSigterm
-            << " routers killed after SIGTERM, " << outcome.violations.size() << " breaks"
-            << std::endl;
+            << " routers killed after SIGTERM, " << outcome.sentInSlowStart
+            << " attempts in slow start, at most " << std::lround(100 * outcome.maxShareOfFallBound)
+            << "% of the bound, " << outcome.falls << " falls, " << outcome.violations.size()
+            << " breaks" << std::endl;
   std::map<std::string, int> byRule;
   for (const Violation& one : outcome.violations)
     if (++byRule[one.rule] <= 3)
@@ -69,13 +71,20 @@
   return *plan;
 }
 
+Plan drawn(const options::variables_map& given, std::uint64_t seed) {
+  const int routers = given["conductors"].as<int>();
+  const int instances = given["instances"].as<int>();
+  if (given.count("slow-starts") != 0)
+    return drawSlowStartPlan(seed, routers, instances);
+  const auto draw = given.count("replacements") != 0 ? drawReplacementPlan : drawPlan;
+  return draw(seed, routers, instances, given["length-ms"].as<double>());
+}
+
 int run(const options::variables_map& given, const Session& session) {
   int broken = 0;
   for (std::uint64_t seed = given["first"].as<std::uint64_t>();
        seed <= given["last"].as<std::uint64_t>(); ++seed) {
-    const auto draw = given.count("replacements") != 0 ? drawReplacementPlan : drawPlan;
-    Plan plan = draw(seed, given["conductors"].as<int>(), given["instances"].as<int>(),
-                     given["length-ms"].as<double>());
+    Plan plan = drawn(given, seed);
     if (given.count("no-pressure") != 0)
       plan.pressure.clear();
     const Outcome outcome = playInto(plan, session);
@@ -165,6 +174,7 @@
       "no-pressure", "without clients that try limits")(
       "replacements",
       "only replacements of processes, while instances hang and clients write slowly")(
+      "slow-starts", "instances start again while most warm ones are lost, under a surge")(
       "out", options::value<std::string>()->default_value("soak-out"),
       "folder for plans and logs of breaks")("program", options::value<std::string>()->required(),
                                              "path of dahliastall")(
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -16,7 +16,8 @@
 constexpr std::array kNames{"system_calls",  "terminate",      "kill",         "stop",
                             "reload",        "drain",          "hang",         "reset",
                             "reject",        "discovery_down", "read_nothing", "lose_answers",
-                            "lose_requests", "move_discovery", "replace",      "kill_successor"};
+                            "lose_requests", "move_discovery", "replace",      "kill_successor",
+                            "restart",       "hold_arrivals",  "surge"};
 constexpr int kDrawnKinds = 14;  // by drawPlan(), of the first in this order
 constexpr std::array kFileFaultNames{"none", "missing", "truncated", "old", "unusable"};
 constexpr std::array kDiscoveryFaultNames{"none",      "empty_line_first", "silent",
@@ -374,6 +375,10 @@
       entry["move"] = jsonOf(fault.move);
     if (fault.kind == FaultKind::kDiscoveryDown)
       entry["outage"] = jsonOf(fault.outage);
+    if (fault.kind == FaultKind::kRestart) {
+      entry["news_ms"] = fault.newsMs;
+      entry["drain_ms"] = fault.drainMs;
+    }
     list.push_back(std::move(entry));
   }
   json pressure = json::array();
@@ -389,6 +394,10 @@
               {"idle_clients", plan.idleClients},
               {"draining_rejects", plan.drainingRejects},
               {"slow_writers", plan.slowWriters},
+              {"warmup_ms", plan.warmupMs},
+              {"capacity_per_s", plan.capacityPerS},
+              {"allowance_per_s", plan.allowancePerS},
+              {"surge_clients", plan.surgeClients},
               {"pressure", pressure},
               {"faults", list}}
       .dump(2);
@@ -408,6 +417,10 @@
     plan.idleClients = complete.at("idle_clients");
     plan.drainingRejects = complete.value("draining_rejects", false);
     plan.slowWriters = complete.value("slow_writers", 0);
+    plan.warmupMs = complete.value("warmup_ms", plan.warmupMs);
+    plan.capacityPerS = complete.value("capacity_per_s", plan.capacityPerS);
+    plan.allowancePerS = complete.value("allowance_per_s", plan.allowancePerS);
+    plan.surgeClients = complete.value("surge_clients", 0);
     for (const json& entry : complete.value("pressure", json::array()))
       plan.pressure.push_back(pressureIn(entry));
     for (const json& entry : complete.at("faults")) {
@@ -421,6 +434,8 @@
         next.move = moveIn(entry.at("move"));
       if (next.kind == FaultKind::kDiscoveryDown)
         next.outage = outageIn(entry.at("outage"));
+      next.newsMs = entry.value("news_ms", 0.0);
+      next.drainMs = entry.value("drain_ms", 0.0);
       plan.faults.push_back(next);
     }
     return plan;
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -33,6 +33,9 @@
                    ///< SIGHUP
   kReplace,        ///< a new process of one router begins to serve, then SIGTERM to the old one
   kKillSuccessor,  ///< SIGKILL to a new process while the old one ends
+  kRestart,        ///< an instance is down for a while, and starts again in slow start
+  kHoldArrivals,   ///< what is sent to an instance arrives together once the fault ends
+  kSurge,          ///< more clients of one router for a while
 };
 const char* nameOf(FaultKind fault);
 
@@ -113,6 +116,8 @@
   std::string rule = {};  ///< of kSystemCalls: call, fault and share as the library's plan has them
   DiscoveryMove move = {};      ///< of kMoveDiscovery
   DiscoveryOutage outage = {};  ///< of kDiscoveryDown
+  double newsMs = 0;            ///< of kRestart: from the start until discovery has it
+  double drainMs = 0;           ///< of kRestart: it drains for so long before
 };
 
 struct Plan {
@@ -130,13 +135,21 @@
   bool reconnects = false;   ///< clients open a connection for each request
   bool onOneCore = false;    ///< each router may use one core
   std::vector<PressureGroup> pressure = {};
-  int slowWriters = 0;  ///< clients of each router that write their requests in two parts
+  int slowWriters = 0;       ///< clients of each router that write their requests in two parts
+  double warmupMs = 13'000;  ///< of an instance that has started
+  double capacityPerS = 0;   ///< attempts that a warm instance can do; 0: slow start is not judged
+  double allowancePerS = 200;  ///< of the tenant, in the settings; 0: the site has no tenants
+  int surgeClients = 0;        ///< of each router, beside the others during kSurge
   std::vector<PlannedFault> faults;
 };
 
 /// Replacements of processes while instances hang and clients write slowly.
 Plan drawReplacementPlan(std::uint64_t seed, int routers, int instances, double lengthMs);
 
+/// Instances start again while most warm instances of their role are lost, clients crowd in and
+/// most routers are killed.
+Plan drawSlowStartPlan(std::uint64_t seed, int routers, int instances);
+
 Plan drawPlan(std::uint64_t seed, int routers, int instances, double lengthMs);
 std::string textOf(const Plan& plan);
 std::optional<Plan> planOf(const std::string& text);
--- a/soak/router_process.cpp
+++ b/soak/router_process.cpp
@@ -22,6 +22,8 @@
 
 namespace {
 
+constexpr int kMaxStarts = 1'000;  // of one router, with a seed for each
+
 void useCore(int core) {
   cpu_set_t cores;
   CPU_ZERO(&cores);
@@ -56,7 +58,7 @@
 nlohmann::json RouterProcess::configuration() const {
   return {{"name", "n0"},
           {"listen", textOf(listen_)},
-          {"seed", std::to_string(listen_.port())},
+          {"seed", std::to_string(listen_.port() * kMaxStarts + starts_)},
           {"discovery", textOf(discovery_)},
           {"settings", settings_},
           {"limits", {{"sockets", limits_.sockets}, {"memory_mb", limits_.memoryMb}}},
@@ -97,6 +99,7 @@
 
 void RouterProcess::start(nlohmann::json knownList) {
   knownList_ = std::move(knownList);
+  ++starts_;
   completeConfiguration();
   std::vector<std::string> variables{"GW_CONFIG=" + configurationPath(), "TMPDIR=" + folder_,
                                      "ASAN_OPTIONS=verify_asan_link_order=0"};
--- a/soak/router_process.h
+++ b/soak/router_process.h
@@ -73,6 +73,7 @@
   std::optional<net::Endpoint> admin_;
   std::string logName_ = "log";
   std::vector<std::string> rules_;
+  int starts_ = 0;
   pid_t process_ = -1;
 };
 
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -80,6 +80,7 @@
         loop_(io_, clock_, timers_),
         environment_{io_, clock_, timers_, counters_, requestLog_, std::mt19937_64(plan_.seed + 1)},
         discoveryCapacity_(plan_.discoveryLoad),
+        slowStart_(slowStartRuleOf(plan_)),
         heldState_(kHeldLimitMs + kMachineSlackMs + (stops() ? kStopMs : 0)),
         startedMs_(clock_.nowMs()) {
     addInstances();
@@ -100,6 +101,8 @@
     runUntil(clock_.nowMs() + 5'500, [this] { return allClientsIdle(); });
     runUntil(clock_.nowMs() + kSettleMs, [] { return false; });  // what is held has to go by itself
     finish();
+    for (const Violation& one : slowStart_.violations())
+      requestLog_.add(one);
     Outcome outcome{requestLog_.findViolations(kDrainGraceMs),
                     requestLog_.size(),
                     requestLog_.served(),
@@ -110,7 +113,10 @@
                     requestLog_.refused(),
                     requestLog_.latenciesMs(),
                     peakMemoryKb_,
-                    peakSocketMemoryKb_};
+                    peakSocketMemoryKb_,
+                    slowStart_.arrivals(),
+                    slowStart_.falls(),
+                    slowStart_.maxShareOfBound()};
     for (const auto& node : nodes_)
       outcome.discovery.push_back(discoveryUseOf(*node));
     return outcome;
@@ -133,6 +139,7 @@
     std::vector<std::unique_ptr<Client>> clients;
     std::vector<std::unique_ptr<SlowWriter>> slowWriters;
     std::map<int, double> drainNotifiedMs;  // by instance
+    std::map<int, double> startNotifiedMs;  // by instance
     std::optional<double> readyByMs, endsByMs, terminatedMs;
     bool expectedEnd = false;
     bool overMemory = false;
@@ -167,6 +174,11 @@
           i, kKinds.at(static_cast<std::size_t>(i) % kKinds.size()), nextAddress(), plan_.answers,
           [this](int node, int instance) { return drainNotifiedMs(node, instance); }));
       draining_.push_back(false);
+      upSinceMs_.push_back(0);
+      if (plan_.capacityPerS > 0)
+        instances_.back()->setAttemptJudge([this](int instance, const std::string& request) {
+          return attemptArrived(instance, request);
+        });
     }
   }
 
@@ -193,8 +205,7 @@
                                             const net::Endpoint& discovery,
                                             int router) {
     auto process = std::make_unique<RouterProcess>(programs_, folder, address, discovery,
-                                                   settings(plan_.maxDeadlineMs, plan_.routers),
-                                                   plan_.limits, coreOf(router));
+                                                   settings(plan_), plan_.limits, coreOf(router));
     process->faults(rulesOf(router));
     if (plan_.slowWriters > 0)
       process->setAdminAddress(nextAddress());
@@ -241,7 +252,7 @@
             {"cell", 0},
             {"phase", draining_[at] ? "leaving" : "active"},
             {"size", 1.0},
-            {"up_since_ms", 0}};
+            {"up_since_ms", upSinceMs_[at]}};
   }
 
   static json listOf(const Node& node, int changes, bool complete, const json& members) {
@@ -366,6 +377,12 @@
         return replace(node, fault.target % plan_.routers);
       case FaultKind::kKillSuccessor:
         return killSuccessor(node);
+      case FaultKind::kRestart:
+        return restart(instance, fault);
+      case FaultKind::kHoldArrivals:
+        return at.behave(Behaviour::kHoldsArrivals, fault.forMs);
+      case FaultKind::kSurge:
+        return surge(node, fault);
     }
   }
 
@@ -503,6 +520,71 @@
     }
   }
 
+  void restart(int instance, const PlannedFault& fault) {
+    if (fault.drainMs > 0)
+      drain(instance);
+    environment_.after(fault.drainMs, [this, instance, &fault] {
+      instances_[static_cast<std::size_t>(instance)]->goDown();
+      environment_.after(fault.forMs, [this, instance, &fault] { startAgain(instance, fault); });
+    });
+  }
+
+  void startAgain(int instance, const PlannedFault& fault) {
+    const auto at = static_cast<std::size_t>(instance);
+    if (instances_[at]->fell())
+      return;
+    instances_[at]->goUp();
+    slowStart_.started(instance, clock_.nowMs());
+    for (auto& node : nodes_)
+      node->startNotifiedMs.erase(instance);
+    const std::chrono::duration<double, std::milli> unixTime =
+        std::chrono::system_clock::now().time_since_epoch();
+    environment_.after(fault.newsMs, [this, instance, upSinceMs = std::floor(unixTime.count())] {
+      tellStart(instance, upSinceMs);
+    });
+  }
+
+  void tellStart(int instance, double upSinceMs) {
+    const auto at = static_cast<std::size_t>(instance);
+    draining_[at] = false;
+    upSinceMs_[at] = upSinceMs;
+    ++changes_;
+    for (auto& node : nodes_) {
+      tellList(*node, instance);
+      node->drainNotifiedMs.erase(instance);
+      node->startNotifiedMs[instance] =
+          std::max({clock_.nowMs(), node->listKnownFromMs, node->agent->downUntilMs()}) +
+          kNotificationSlackMs;
+    }
+  }
+
+  bool attemptArrived(int instance, const std::string& request) {
+    const int router =
+        isPressureId(request) ? routerOfPressureId(request) : requestLog_.entry(request).router;
+    const auto& notified = nodes_.at(static_cast<std::size_t>(router))->startNotifiedMs;
+    const auto it = notified.find(instance);
+    const bool told = it != notified.end() && it->second <= clock_.nowMs();
+    return slowStart_.arrived(instance, told, clock_.nowMs());
+  }
+
+  void surge(Node& node, const PlannedFault& fault) {
+    const int router = fault.target % plan_.routers;
+    const auto first = node.clients.size();
+    for (int k = 0; k < plan_.surgeClients; ++k) {
+      node.clients.push_back(
+          std::make_unique<Client>(environment_, router, static_cast<int>(first) + k,
+                                   node.process->address(), plan_.maxDeadlineMs, plan_.reconnects));
+      Client& client = *node.clients.back();
+      environment_.after(fault.forMs, [&client] { client.stop(); });
+      if (node.readyByMs) {  // it is started once its router serves
+        client.pause();
+        continue;
+      }
+      startedClients_.insert(&client);
+      client.start();
+    }
+  }
+
   void press(const PressureGroup& group) {
     const Node& node = *nodes_.at(static_cast<std::size_t>(group.router));
     pressure_.push_back(std::make_unique<PressureClients>(group, node.process->address(),
@@ -648,12 +730,14 @@
   RequestLog requestLog_;
   Environment environment_;
   DiscoveryCapacity discoveryCapacity_;
+  SlowStartMonitor slowStart_;
   HeldStateMonitor heldState_;
   double startedMs_;
   std::uint16_t port_ = kFirstPort;
   int changes_ = 0;  // of the list
   std::size_t killedAfterSigterm_ = 0;
   std::vector<bool> draining_;
+  std::vector<double> upSinceMs_;  // by the machines' clocks, in Unix time; 0: long ago
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::set<const Client*> startedClients_;
--- a/soak/scenario.h
+++ b/soak/scenario.h
@@ -24,6 +24,9 @@
   std::vector<double> latenciesMs;  ///< of ordinary clients that were served in full, ordered
   long peakMemoryKb = 0;            ///< of any router process
   long peakSocketMemoryKb = 0;      ///< of all TCP sockets of this machine, the emulator's as well
+  std::size_t sentInSlowStart = 0;  ///< attempts that reached instances in slow start
+  std::size_t falls = 0;            ///< of such instances, by the load
+  double maxShareOfFallBound = 0;   ///< in one window of one instance
   /// What each router's discovery saw at its last address, by the number of the router.
   std::vector<DiscoveryUse> discovery = {};
 };
--- a/soak/settings.cpp
+++ b/soak/settings.cpp
@@ -8,7 +8,7 @@
 
 }  // namespace
 
-nlohmann::json settings(double maxDeadlineMs, int routers) {
+nlohmann::json settings(const Plan& plan) {
   nlohmann::json settings = nlohmann::json::parse(R"({
     "me":0,"peersTotal":1,"tickMs":2.0,"discovery":"push","zones":["z"],"myZone":"z","countedBy":"work",
     "kinds":["reader","writer","mixed"],
@@ -26,12 +26,25 @@
     "limits":{"cancel":true,"peers":false,"probing":false,"secondCopies":false,"retryAfter":true,
       "maxAttempts":4,"maxRetryAfterMs":2000.0,"dialTimeoutMs":250.0,"idleCloseMs":30000.0},
     "report":{"how":"off"}})");
-  settings["peersTotal"] = routers;
+  settings["peersTotal"] = plan.routers;
+  settings["contract"]["coldMs"] = plan.warmupMs;
+  settings["orgs"][0]["allowancePerS"] = plan.allowancePerS;
+  if (plan.allowancePerS <= 0)
+    settings["orgs"] = nlohmann::json::array();
   for (nlohmann::json& grade : settings["grades"]) {
-    grade["hardLimitMs"] = maxDeadlineMs;
-    grade["goalTimeMs"] = maxDeadlineMs / kDeadlineOfAim;
+    grade["hardLimitMs"] = plan.maxDeadlineMs;
+    grade["goalTimeMs"] = plan.maxDeadlineMs / kDeadlineOfAim;
   }
   return settings;
 }
 
+SlowStartRule slowStartRuleOf(const Plan& plan) {
+  const nlohmann::json contract = settings(plan)["contract"];
+  return {.initialShare = contract["coldFrom"],
+          .warmupMs = contract["coldMs"],
+          .overloadFactor = contract["overloadFactor"],
+          .windowMs = contract["fallMs"],
+          .capacityPerS = plan.capacityPerS};
+}
+
 }  // namespace inference_router::soak
--- a/soak/settings.h
+++ b/soak/settings.h
@@ -5,6 +5,8 @@
 #include <string>
 
 #include "net/endpoint.h"
+#include "plan.h"
+#include "slow_start_monitor.h"
 
 namespace inference_router::soak {
 
@@ -12,7 +14,9 @@
 
 using net::textOf;
 
-/// maxDeadlineMs: of the classes; routers: that share the instances.
-nlohmann::json settings(double maxDeadlineMs, int routers);
+nlohmann::json settings(const Plan& plan);
+
+/// What they tell of instances in slow start.
+SlowStartRule slowStartRuleOf(const Plan& plan);
 
 }  // namespace inference_router::soak
