Bound what all routers send to an instance in slow start, whatever is offered

Cause: each node scaled its part of an instance's budget with its own demand, or drew with a constant probability for each offer. Neither bounds a sum: with more offers (warm instances lost, a surge, clients that return) more was sent. And all limits ended in one moment at the end of the warm-up, for windows that had begun before it as well.

Change: a node's part comes from what the instances can do: the tenants' quotas or, at a site without tenants, what warm instances have completed for it. Time is divided into slots that begin at other times in each process; the part of a slot, rounded by a draw, lapses with it, so neither offers nor idle or restarted nodes add to the sum. The limit is at most the capacity of a warm instance, as no setting tells how capacity grows; it stays for one window after the warm-up and is lifted over two more. An attempt at a reservation made over a quarter of a window before needs a part of its own. SlowStart decides on and counts every dispatch; AttemptDispatcher asks it for all of them.

The tests of SlowStartBudget for the removed draw per offer are replaced: bound under constant offers, repeated offers, restarts, few requests, and one request per window without an estimate.

--- a/include/inference_router/slow_start_totals.h
+++ b/include/inference_router/slow_start_totals.h
@@ -9,7 +9,9 @@
 
 /// Why a request was not sent to an instance in slow start.
 enum class SlowStartDenial {
-  kBudgetUsed,  ///< this node has used its part of the instance's budget
+  kBudgetUsed,      ///< this node has used its part of the instance's budget
+  kNodeStarted,     ///< an earlier process of this node may have used it
+  kReservationOld,  ///< the reservation was made too long ago, and the budget is used
   kCount
 };
 
--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -105,8 +105,7 @@
        {"X-Call-Class", environment_.requestLog.entry(id).atMostOnce ? "change" : "ask"},
        {"X-Caller", "club"},
        {"X-Route-Hash", std::to_string(number_)},
-       {"X-Budget-Ms",
-        std::to_string(static_cast<long>(environment_.requestLog.entry(id).budgetMs))},
+       {"X-Budget-Ms", std::to_string(static_cast<long>(leftMs(id)))},
        {"X-Call-Info", "prompt_len=100,max_out=50"},
        {"Content-Length", std::to_string(body.size())}});
   call_ = pool_.call(to_, head, std::make_shared<const std::string>(body),
@@ -123,7 +122,9 @@
   if (id_ != id)
     return;
   call_ = nullptr;
-  if (resend) {
+  if (resend && paused_)  // the front layer sends nothing there
+    environment_.requestLog.entry(id).undecided = true;
+  if (resend && !paused_ && leftMs(id) > 0) {
     resent_ = true;
     pool_.dropIdle(to_);
     return open(id);
@@ -134,6 +135,11 @@
   start();
 }
 
+double Client::leftMs(const std::string& id) const {
+  const ClientView& view = environment_.requestLog.entry(id);
+  return view.sentMs + view.budgetMs - environment_.clock.nowMs();
+}
+
 std::optional<std::string> Client::streamSentAfter(double sentMs) const {
   if (id_.empty())
     return std::nullopt;
--- a/soak/client.h
+++ b/soak/client.h
@@ -39,6 +39,8 @@
   void send();
   void open(const std::string& id);
   void over(const std::string& id, bool resend);
+  /// How long the client still waits.
+  double leftMs(const std::string& id) const;
 
   Environment& environment_;
   int conductor_, number_;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -500,8 +500,10 @@
     if (!node.process->running())
       return;
     node.expectedEnd = true;
-    for (auto& client : node.clients)
+    for (auto& client : node.clients) {
       client->markUndecided();
+      client->pause();
+    }
     node.process->signal(SIGKILL);
   }
 
--- a/src/routing/attempt_dispatcher.cpp
+++ b/src/routing/attempt_dispatcher.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 bool AttemptDispatcher::mayDispatch(const RequestRecord& request,
-                                    const Instance& instance,
+                                    Instance& instance,
                                     Time now) const {
   if (request.phase == Phase::kFinished || request.phase == Phase::kStreaming)
     return false;
@@ -24,7 +24,7 @@
     return false;
   const bool reserved =
       &instance == request.reservation && decodeSelector_.reservationUsable(request, now);
-  if (!instance.isListed() && !reserved)
+  if (!reserved && (!instance.isListed() || !slowStart_.admits(instance, now)))
     return false;
   return effectAllowsDispatch(classOf(settings_, request), request, instance, now);
 }
@@ -52,8 +52,7 @@
   const Time timeoutAt = attemptTimeoutAt(settings_, request, instance, now);
   context.emit(DispatchAttempt{request.arrival.request, instance.endpoint.instance, timeoutAt,
                                sendDeadline});
-  if (&instance != request.reservation)  // a dispatch to the reservation was counted when reserving
-    slowStart_.countDispatch(instance, now);
+  slowStart_.countAttempt(request, instance, now);
   return true;
 }
 
@@ -63,9 +62,10 @@
   Instance* instance = decodeSelector_.choose(request, context.now());
   if (instance == nullptr)
     return;
-  slowStart_.countDispatch(*instance, context.now());
+  slowStart_.countReservation(*instance, context.now());
   capacity_.reserve(request, *instance);
   request.reservation = instance;
+  request.reservedAt = context.now();
   request.holdsRemoteState = true;
   context.emit(ReserveDecode{request.arrival.request, instance->endpoint.instance});
 }
--- a/src/routing/attempt_dispatcher.h
+++ b/src/routing/attempt_dispatcher.h
@@ -52,7 +52,7 @@
   void cancelAttempt(const RequestRecord& request, EventContext& context) const;
 
  private:
-  bool mayDispatch(const RequestRecord& request, const Instance& instance, Time now) const;
+  bool mayDispatch(const RequestRecord& request, Instance& instance, Time now) const;
 
   const Settings& settings_;
   const ServiceEstimates& estimates_;
--- a/src/routing/decode_prefill_selector.cpp
+++ b/src/routing/decode_prefill_selector.cpp
@@ -46,7 +46,7 @@
   Instance* best = nullptr;
   for (auto& [id, instance] : inputs_.registry.instances()) {
     if (instance.role != Role::kDecode || instance.ejection.ejected ||
-        warmFraction(inputs_.settings, instance, now) < 1)
+        inputs_.slowStart.isLimited(instance, now))
       continue;
     if (inputs_.capacity.isFull(instance, now, kMaxMemoryShare) ||
         !inputs_.availability.isEligible(request, instance, now))
--- a/src/routing/decode_selector.cpp
+++ b/src/routing/decode_selector.cpp
@@ -29,8 +29,6 @@
 Instance* DecodeSelector::leastLoaded(RequestRecord& request,
                                       std::optional<CellIndex> cell,
                                       Time now) {
-  const RoleWeights weights = inputs_.slowStart.weights(Role::kDecode, now);
-  const double offeredWeight = kMaxSlowStartOffers * weights.inSlowStart;
   Instance* best = nullptr;
   for (auto& [id, instance] : inputs_.registry.instances()) {
     const bool outsideCell =
@@ -39,9 +37,7 @@
       continue;
     if (!inputs_.availability.isEligible(request, instance, now))
       continue;
-    const SlowStartCandidates candidates{
-        offeredWeight, instance.endpoint.weight / std::max(weights.inSlowStart, kMinDivisor)};
-    if (!inputs_.slowStart.admits(request, instance, weights, candidates, now))
+    if (!inputs_.slowStart.admits(instance, now))
       continue;
     if (best == nullptr || isLessLoaded(instance, *best, now))
       best = &instance;
@@ -49,8 +45,8 @@
   return best;
 }
 
-// Instances with free capacity come first, then those with less load; ties are broken by a hash
-// that differs between nodes.
+// Instances with free capacity come first, then those with less load, then those in slow start, as
+// what is not sent to them now lapses; ties are broken by a hash that differs between nodes.
 bool DecodeSelector::isLessLoaded(const Instance& instance, const Instance& other, Time now) const {
   const bool isFull = inputs_.capacity.isFull(instance, now);
   const bool otherIsFull = inputs_.capacity.isFull(other, now);
@@ -60,6 +56,9 @@
   const double otherLoad = inputs_.capacity.load(other, now);
   if (load < otherLoad || otherLoad < load)
     return load < otherLoad;
+  const bool isStarting = inputs_.slowStart.isLimited(instance, now);
+  if (isStarting != inputs_.slowStart.isLimited(other, now))
+    return isStarting;
   return stableHash(seed_, instance.endpoint.instance.value) <
          stableHash(seed_, other.endpoint.instance.value);
 }
@@ -69,7 +68,8 @@
   if (instance == nullptr || request.excludedInstances.count(instance->endpoint.instance) != 0)
     return false;
   if (instance->isListed())
-    return inputs_.availability.isUsable(*instance, now);
+    return inputs_.availability.isUsable(*instance, now) &&
+           inputs_.slowStart.admitsReserved(request, now);
   const Duration drainGrace = inputs_.settings.contract.drainGrace;
   return now - *instance->drainingSince < drainGrace / kDrainGraceDivisor &&
          instance->endpoint.state == EndpointState::kDraining;
--- a/src/routing/instance_registry.cpp
+++ b/src/routing/instance_registry.cpp
@@ -51,7 +51,9 @@
     instance.ejection.assumeHealthy();
   if (added || restarted) {
     instance.slowStartRecord = {.news = added ? newsOfAdded : SlowStartNews::kRestarted};
-    instance.slowStart.reset(stableHash(seed_, entry.instance.value), settings_.nodes, now);
+    const bool mayHaveSent = added && newsOfAdded == SlowStartNews::kFirstList;
+    instance.slowStart.reset(stableHash(seed_, entry.instance.value), settings_.nodes, mayHaveSent,
+                             settings_.contract, now);
   }
   if (restarted)
     instance.ejection.reinstate();
--- a/src/routing/prefill_selector.cpp
+++ b/src/routing/prefill_selector.cpp
@@ -29,18 +29,13 @@
   const std::vector<Instance*> order = preferenceOrder(request, now);
   if (!order.empty())
     request.affinityInstance = order.front();
-  const RoleWeights weights = inputs_.slowStart.weights(Role::kPrefill, now);
+  if (Instance* starting = inSlowStart(request, order, maxDelay, now))
+    return starting;
   Instance* best = nullptr;
-  int slowStartOffers = 0;
   for (Instance* instance : order) {
     if (!mayPrefill(request, *instance, now))
       continue;
-    if (warmFraction(inputs_.settings, *instance, now) < 1)
-      ++slowStartOffers;
-    const SlowStartCandidates candidates{
-        instance == request.affinityInstance ? weights.listed : weights.inSlowStart,
-        slowStartOffers > kMaxSlowStartOffers ? 0.0 : 1.0};
-    if (!inputs_.slowStart.admits(request, *instance, weights, candidates, now))
+    if (!inputs_.slowStart.admits(*instance, now))
       continue;
     if (best != nullptr && estimates.timeToPrefill(request, *instance, now) >=
                                estimates.timeToPrefill(request, *best, now))
@@ -52,6 +47,22 @@
   return best;
 }
 
+// Returns the first instance in slow start to which this node may send a request now: what it does
+// not send there lapses, and few of its requests have such an instance first in their order.
+Instance* PrefillSelector::inSlowStart(const RequestRecord& request,
+                                       const std::vector<Instance*>& order,
+                                       Duration maxDelay,
+                                       Time now) const {
+  for (Instance* instance : order) {
+    if (!inputs_.slowStart.isLimited(*instance, now) || !mayPrefill(request, *instance, now))
+      continue;
+    if (inputs_.estimates.queueingDelay(*instance, now) <= maxDelay &&
+        inputs_.slowStart.admits(*instance, now))
+      return instance;
+  }
+  return nullptr;
+}
+
 bool PrefillSelector::mayPrefill(const RequestRecord& request,
                                  const Instance& instance,
                                  Time now) const {
--- a/src/routing/prefill_selector.h
+++ b/src/routing/prefill_selector.h
@@ -27,6 +27,10 @@
   void rankByRendezvousHash(std::vector<Instance*>& instances,
                             std::size_t count,
                             const std::string& key) const;
+  Instance* inSlowStart(const RequestRecord& request,
+                        const std::vector<Instance*>& order,
+                        Duration maxDelay,
+                        Time now) const;
   bool mayPrefill(const RequestRecord& request, const Instance& instance, Time now) const;
 
   SelectionInputs inputs_;
--- a/src/routing/request_lifecycle.cpp
+++ b/src/routing/request_lifecycle.cpp
@@ -150,7 +150,6 @@
                              EventContext& context) {
   const Time now = context.now();
   request.excludedInstances.insert(failed.endpoint.instance);
-  request.slowStartOfferedAt.clear();
   const int attemptsNeeded = kvCacheUsable ? kAttemptsFromKvCache : kAttemptsFromStart;
   const ClassSettings& cls = classOf(components_.settings, request);
   const bool allowed = hasAttemptsLeft(components_.settings, request, attemptsNeeded) &&
--- a/src/routing/request_record.h
+++ b/src/routing/request_record.h
@@ -47,12 +47,11 @@
   Time prefilledAt{};  ///< since when its KV cache has been unused
   Phase phase = Phase::kWaiting;
   std::vector<AttemptRecord> attempts;
-  std::set<InstanceId> excludedInstances;  ///< instances at which an attempt has failed
-  Instance* reservation = nullptr;         ///< where a reservation was requested or is held
-  Instance* prefillInstance = nullptr;     ///< the instance that prefills or holds its KV cache
-  int reservationsRejected = 0;            ///< number of reservations that were rejected
-  /// When the request was first offered to an instance in slow start, by phase.
-  std::map<Phase, Time> slowStartOfferedAt;
+  std::set<InstanceId> excludedInstances;      ///< instances at which an attempt has failed
+  Instance* reservation = nullptr;             ///< where a reservation was requested or is held
+  Instance* prefillInstance = nullptr;         ///< the instance that prefills or holds its KV cache
+  Time reservedAt{};                           ///< when that reservation was requested
+  int reservationsRejected = 0;                ///< number of reservations that were rejected
   const Instance* affinityInstance = nullptr;  ///< first in preference order of its affinity key
   bool holdsRemoteState = false;               ///< an instance may hold a KV cache or a reservation
   Instance* reservedOn = nullptr;              ///< instance at which DecodeCapacity counts it
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -93,7 +93,7 @@
     registry_.apply(update, context.now());
     registry_.eraseRemoved(requests_, context.now());
     cells_.update(registry_.instances(), settings_, context.now());
-    slowStart_.endpointsChanged();
+    slowStart_.endpointsChanged(context.now());
   }
 
   void on(const Arrival& arrival, EventContext& context) {
@@ -110,6 +110,7 @@
     request.deadline = context.now() + arrival.timeLeft;
     request.objectiveAt = objectiveFor(arrival, classOf(settings_, request), context.now());
     popularity_.count(affinityKey(request), context.now());
+    slowStart_.recordArrival(context.now());
     retryBudget_.recordArrival(popularity_.arrivals(context.now()));
     if (shutdown_.rejectsArrivals(settings_.streamResumption, context.now()))
       lifecycle_.finish(request, context);
@@ -162,6 +163,8 @@
       return;
     Instance& instance = *attempt->instance;
     outcomes_.recordEnd(*request, *attempt, ended, requests_, context);
+    if (ended.outcome == AttemptOutcome::kPrefilled || ended.outcome == AttemptOutcome::kServed)
+      slowStart_.recordServed(*request, instance, context.now());
     lifecycle_.applyOutcome(*request, instance, ended, context);
     eraseIfFinished(ended.request);
   }
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -17,87 +17,201 @@
 // Interval at which ends of slow starts are looked for.
 constexpr Duration kReportInterval = std::chrono::milliseconds{500};
 
+double inSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double allowancePerSecond(const Settings& settings) {
+  double sum = 0;
+  for (const TenantSettings& tenant : settings.tenants)
+    sum += tenant.allowancePerSecond;
+  return sum;
+}
+
 }  // namespace
 
 const char* nameOf(SlowStartDenial denial) {
   switch (denial) {
     case SlowStartDenial::kBudgetUsed:
       return "budget_used";
+    case SlowStartDenial::kNodeStarted:
+      return "node_started";
+    case SlowStartDenial::kReservationOld:
+      return "reservation_old";
     case SlowStartDenial::kCount:
       break;
   }
   return "";
 }
 
-RoleWeights SlowStart::weights(Role role, Time now) const {
-  RoleWeights weights;
-  weights.fullFleet =
-      std::max(cells_.maxWarmWeight(role), kMinDivisor) + cells_.maxWarmWeight(Role::kMixed);
-  for (const auto& [id, instance] : registry_.instances()) {
-    if (!instance.isListed() || (instance.role != role && instance.role != Role::kMixed))
-      continue;
-    weights.listed += instance.endpoint.weight;
-    if (warmFraction(settings_, instance, now) < 1)
-      weights.inSlowStart += instance.endpoint.weight;
-  }
-  weights.fullFleet = std::max(weights.fullFleet, weights.inSlowStart);
-  if (!recentlyStarted(now))
-    return weights;
-  // A recently started node knows only the current list, so it assumes that instances are missing.
-  const double unlisted = weights.inSlowStart < weights.listed ? 0 : kUnlistedWeight;
-  weights.fullFleet = std::max(weights.fullFleet, cells_.maxListedWeight()) + unlisted;
-  return weights;
-}
-
-bool SlowStart::admits(RequestRecord& request,
-                       Instance& instance,
-                       const RoleWeights& weights,
-                       const SlowStartCandidates& candidates,
-                       Time now) {
-  if (warmFraction(settings_, instance, now) >= 1)
+void SlowStart::endpointsChanged(Time now) {
+  observeWeights(now);
+  reportAt_ = Time{};
+}
+
+bool SlowStart::isLimited(const Instance& instance, Time now) const {
+  return loadLimit(settings_.contract, instance.endpoint.started, now).has_value();
+}
+
+bool SlowStart::admits(Instance& instance, Time now) {
+  if (!isLimited(instance, now))
     return true;
-  const double warmDispatchesPerWindow =
-      ownDemand(instance.role, now) *
-      ratio(settings_.contract.overloadWindow, kTrafficTimeConstant) * instance.endpoint.weight /
-      weights.fullFleet;
-  const Time offeredSince =
-      request.slowStartOfferedAt.try_emplace(request.phase, now).first->second;
-  const SlowStartOffer offer{warmDispatchesPerWindow, candidates.offeredWeight / weights.fullFleet,
-                             candidates.instanceShare, offeredSince};
-  if (instance.slowStart.admits(settings_, instance.endpoint.started, offer, now))
+  const Contract& contract = settings_.contract;
+  if (instance.slowStart.isPending(contract, now))
+    return deny(instance, SlowStartDenial::kNodeStarted);
+  if (!instance.slowStart.admits(contract, partOf(instance, now), now))
+    return deny(instance, SlowStartDenial::kBudgetUsed);
+  return true;
+}
+
+bool SlowStart::admitsReserved(const RequestRecord& request, Time now) {
+  Instance& instance = *request.reservation;
+  if (!isLimited(instance, now) || isCounted(request, now))
     return true;
-  constexpr auto kReason = static_cast<std::size_t>(SlowStartDenial::kBudgetUsed);
-  ++instance.slowStartRecord.denied[kReason];
-  ++totals_.denied[kReason];
-  return false;
+  return admits(instance, now) || deny(instance, SlowStartDenial::kReservationOld);
 }
 
-// Number of requests of this node for the role in one time constant; extrapolated while the node
-// has been running for less.
-double SlowStart::ownDemand(Role role, Time now) const {
-  const Duration observedFor = std::max(now - startedAt_, settings_.contract.overloadWindow);
-  const double recentRequests = recentlyStarted(now)
-                                    ? popularity_.arrivals(now)
-                                    : dispatches_[roleIndex(role)].at(now, kTrafficTimeConstant);
-  return recentRequests / -std::expm1(-ratio(observedFor, kTrafficTimeConstant));
+// The instance may have restarted since, without the reservation.
+bool SlowStart::isCounted(const RequestRecord& request, Time now) const {
+  const bool isCurrent = request.reservation->endpoint.started <= request.reservedAt;
+  return isCurrent && now - request.reservedAt <= maxTransitTime(settings_.contract);
 }
 
-void SlowStart::countDispatch(Instance& instance, Time now) {
-  instance.slowStart.countDispatch(settings_.contract, now);
-  dispatches_[roleIndex(instance.role)].add(1, now, kTrafficTimeConstant);
-  if (warmFraction(settings_, instance, now) >= 1)
+void SlowStart::countAttempt(const RequestRecord& request, Instance& instance, Time now) {
+  if (&instance != request.reservation || !isCounted(request, now))
+    count(instance, now);
+}
+
+void SlowStart::count(Instance& instance, Time now) {
+  if (!isLimited(instance, now))
     return;
+  instance.slowStart.countDispatch(settings_.contract, now);
   ++instance.slowStartRecord.sent;
   ++totals_.sent;
 }
 
+bool SlowStart::deny(Instance& instance, SlowStartDenial reason) {
+  const auto index = static_cast<std::size_t>(reason);
+  ++instance.slowStartRecord.denied[index];
+  ++totals_.denied[index];
+  return false;
+}
+
+// A mixed instance that only decodes a request does less than its whole work.
+void SlowStart::recordServed(const RequestRecord& request, const Instance& instance, Time now) {
+  const bool wholeStep = instance.role != Role::kMixed || request.prefillInstance == &instance;
+  const bool isMeasure = instance.isListed() && instance.endpoint.weight > 0;
+  if (wholeStep && isMeasure && !isLimited(instance, now))
+    served_.recordServed(instance.role, settings_.contract.overloadWindow, now);
+}
+
+SlowStartPart SlowStart::partOf(const Instance& instance, Time now) const {
+  const Contract& contract = settings_.contract;
+  const double window = inSeconds(contract.overloadWindow);
+  const double limit = loadLimit(contract, instance.endpoint.started, now).value_or(0);
+  const double allowed = limit * ownCapacity(instance, now) * window;
+  // Without any estimate, all nodes together may send one request per window.
+  return {.allowedPerWindow = std::max(allowed, 1.0 / settings_.nodes),
+          .requestsPerWindow = requestsPerSecond(now) * window};
+}
+
+void SlowStart::recordArrival(Time now) {
+  recentArrivals_.add(1, now, settings_.contract.overloadWindow);
+}
+
+// The mean rate or, in a surge, the present one. The latest arrival is left out: it is the one for
+// which an instance is being selected.
+double SlowStart::requestsPerSecond(Time now) const {
+  const Duration window = settings_.contract.overloadWindow;
+  const Duration observedFor = std::max(now - startedAt_, window);
+  const auto perSecond = [](double arrivals, double seconds) {
+    return std::max(0.0, arrivals - 1) / seconds;
+  };
+  const double mean = perSecond(
+      popularity_.arrivals(now),
+      inSeconds(kTrafficTimeConstant) * -std::expm1(-ratio(observedFor, kTrafficTimeConstant)));
+  return std::max(mean, perSecond(recentArrivals_.at(now, window), inSeconds(window)));
+}
+
+// This node's part of what the instance can do once it is warm, in requests per second.
+double SlowStart::ownCapacity(const Instance& instance, Time now) const {
+  const double weight = instance.endpoint.weight;
+  const double shareOfFleet = weight / fullWeight(instance.role);
+  const double allowance = allowancePerSecond(settings_);
+  if (allowance > 0)
+    return allowance * shareOfFleet / settings_.nodes;
+  const Duration window = settings_.contract.overloadWindow;
+  const std::optional<double> served = served_.ofWeight(instance.role, weight);
+  if (served && now - startedAt_ >= window)
+    return *served;
+  return std::max(served.value_or(0),
+                  ownDemand(now) * std::min(shareOfFleet, 1 / stepCount(instance.role)));
+}
+
+// While nothing can have been served yet: what this node has been asked for. A node that has just
+// started does not extrapolate from its first requests, as clients may come back all at once.
+double SlowStart::ownDemand(Time now) const {
+  const Duration observedFor = std::max(now - startedAt_, settings_.contract.warmupDuration);
+  const double observedShare = -std::expm1(-ratio(observedFor, kTrafficTimeConstant));
+  return popularity_.arrivals(now) / (inSeconds(kTrafficTimeConstant) * observedShare);
+}
+
+// The number of listed instances that do the same step; at least 1.
+double SlowStart::stepCount(Role role) const {
+  const double prefill = cells_.listedCount(Role::kPrefill);
+  const double decode = cells_.listedCount(Role::kDecode);
+  const double sameStep =
+      role == Role::kMixed ? std::max(prefill, decode) : cells_.listedCount(role);
+  return std::max(1.0, sameStep + cells_.listedCount(Role::kMixed));
+}
+
+// Mixed instances do both steps, so the step with more weight limits them.
+double SlowStart::fullWeight(Role role) const {
+  const double prefill = fullWeight_[roleIndex(Role::kPrefill)];
+  const double decode = fullWeight_[roleIndex(Role::kDecode)];
+  const double weight =
+      role == Role::kMixed ? std::max(prefill, decode) : fullWeight_[roleIndex(role)];
+  return std::max(weight, kMinDivisor);
+}
+
+// The estimated weight of the whole fleet by step, all listed and warm, and that of the warm
+// instances by role.
+void SlowStart::observeWeights(Time now) {
+  ByRole listed{};
+  ByRole limited{};
+  for (const auto& [id, instance] : registry_.instances()) {
+    if (!instance.isListed())
+      continue;
+    const std::size_t role = roleIndex(instance.role);
+    listed[role] += instance.endpoint.weight;
+    if (isLimited(instance, now))
+      limited[role] += instance.endpoint.weight;
+  }
+  const std::size_t mixed = roleIndex(Role::kMixed);
+  for (const Role step : {Role::kPrefill, Role::kDecode}) {
+    const std::size_t role = roleIndex(step);
+    const double listedWeight = listed[role] + listed[mixed];
+    const double limitedWeight = limited[role] + limited[mixed];
+    double weight =
+        std::max(cells_.maxWarmWeight(step) + cells_.maxWarmWeight(Role::kMixed), limitedWeight);
+    // A recently started node knows only the current list, so it assumes that instances are
+    // missing.
+    if (recentlyStarted(now))
+      weight = std::max(weight, cells_.maxListedWeight()) +
+               (limitedWeight < listedWeight ? 0 : kUnlistedWeight);
+    fullWeight_[role] = weight;
+  }
+  for (const Role role : {Role::kPrefill, Role::kDecode, Role::kMixed})
+    served_.setWarmWeight(role, listed[roleIndex(role)] - limited[roleIndex(role)], now);
+}
+
 void SlowStart::report(EventContext& context) {
   if (context.now() < reportAt_)
     return;
   reportAt_ = context.now() + kReportInterval;
+  observeWeights(context.now());
   for (auto& [id, instance] : registry_.instances()) {
-    const bool inSlowStart =
-        instance.isListed() && warmFraction(settings_, instance, context.now()) < 1;
+    const bool inSlowStart = instance.isListed() && isLimited(instance, context.now());
     if (inSlowStart == instance.slowStartRecord.reported)
       continue;
     instance.slowStartRecord.reported = inSlowStart;
@@ -108,15 +222,17 @@
   }
 }
 
-void SlowStart::logBegin(Instance& instance, EventContext& context) const {
+void SlowStart::logBegin(const Instance& instance, EventContext& context) const {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       context.now() - *instance.endpoint.started);
   context.log("slow start of " + instance.endpoint.instance.value + ": started " +
               std::to_string(age.count()) +
-              " ms ago, known by: " + nameOf(instance.slowStartRecord.news));
+              " ms ago, known by: " + nameOf(instance.slowStartRecord.news) +
+              ", budget here: " + std::to_string(partOf(instance, context.now()).allowedPerWindow) +
+              " requests per window");
 }
 
-void SlowStart::logEnd(Instance& instance, EventContext& context) {
+void SlowStart::logEnd(const Instance& instance, EventContext& context) {
   const SlowStartRecord& record = instance.slowStartRecord;
   std::string text = "slow start of " + instance.endpoint.instance.value + " over: sent " +
                      std::to_string(record.sent);
--- a/src/routing/slow_start_budget.cpp
+++ b/src/routing/slow_start_budget.cpp
@@ -9,15 +9,22 @@
 namespace inference_router::routing {
 namespace {
 
-// Share of the budget that may be used when dispatches are counted.
-constexpr double kMaxCountedShare = 0.7;
-// Share of the budget that may be used when dispatches are drawn; smaller, to leave a margin for
-// random variation and bursts.
-constexpr double kMaxDrawnShare = 0.34;
-// Capacity of the token bucket, in overload windows.
-constexpr double kMaxBucketWindows = 0.25;
-// Number of slots in an overload window; a process sends at most one drawn request per slot.
-constexpr int kSlotsPerWindow = 8;
+// Share of what an instance can take that all processes together may send in any window; the rest
+// is for random variation.
+constexpr double kMaxShare = 0.9;
+// Share of what an instance can take that processes with few requests send together on average.
+constexpr double kMeanShare = 0.5;
+// Share of it that they may send together per window if all of them always had a request.
+constexpr double kMaxGrantedShare = 2.5;
+// Slots in an overload window. In longer slots more of the budget is used, but less can be granted.
+constexpr int kMinSlotsPerWindow = 2;
+constexpr int kMaxSlotsPerWindow = 8;
+// Slots in a window, times the number of processes, between these bounds.
+constexpr int kSlotsOfAllProcesses = 32;
+// Time for which an attempt may be in transit, in overload windows.
+constexpr double kTransitWindows = 0.25;
+// How long the limit takes to be lifted after slow start, in overload windows.
+constexpr double kLiftWindows = 2;
 // Lower bound of the warm fraction, which is used as a divisor.
 constexpr double kMinWarmFraction = 1e-9;
 
@@ -28,47 +35,78 @@
   return age >= 1 ? 1 : std::max({contract.warmupInitialShare, age, kMinWarmFraction});
 }
 
+std::optional<double> loadLimit(const Contract& contract, std::optional<Time> started, Time now) {
+  if (!started)
+    return std::nullopt;
+  const Time lastWindowEnds = *started + contract.warmupDuration + contract.overloadWindow;
+  const double lifted = ratio(now - lastWindowEnds, scaled(contract.overloadWindow, kLiftWindows));
+  if (lifted >= 1)
+    return std::nullopt;
+  // The window that ends now began when the instance could take less.
+  const double share = warmFraction(contract, started, now - contract.overloadWindow);
+  const double limit = std::min(1.0, contract.overloadFactor * share);
+  return limit + std::max(0.0, lifted) * std::max(0.0, contract.overloadFactor - limit);
+}
+
+Duration maxTransitTime(const Contract& contract) {
+  return scaled(contract.overloadWindow, kTransitWindows);
+}
+
 // The seed shifts the slots, so that those of different processes begin at different times.
 std::int64_t SlowStartBudget::slotOf(const Contract& contract, Time time) const {
-  const Duration slot = std::max(Duration(1), contract.overloadWindow / kSlotsPerWindow);
+  const Duration slot = std::max(Duration(1), contract.overloadWindow / slotsPerWindow_);
   return (time.time_since_epoch() + Duration(seed_ % static_cast<std::uint64_t>(slot.count()))) /
          slot;
 }
 
-void SlowStartBudget::reset(std::uint64_t seed, int processes, Time now) {
+void SlowStartBudget::reset(std::uint64_t seed,
+                            int processes,
+                            bool mayHaveSent,
+                            const Contract& contract,
+                            Time now) {
   seed_ = seed;
-  tokens_ = std::min(1.0, stableDraw(seed_, -1) + 1.0 / processes);
-  refilledAt_ = now;
+  slotsPerWindow_ = std::clamp(kSlotsOfAllProcesses / std::max(1, processes), kMinSlotsPerWindow,
+                               kMaxSlotsPerWindow);
+  slot_ = slotOf(contract, now);
+  firstSlot_ = slot_ + (mayHaveSent ? 1 : 0);
+  sentInSlot_ = 0;
+  lastSentAt_.reset();
 }
 
-bool SlowStartBudget::admits(const Settings& settings,
-                             std::optional<Time> started,
-                             const SlowStartOffer& offer,
-                             Time now) {
-  const Contract& contract = settings.contract;
-  // A dispatch counts in every window that contains it. The earliest of these began one window ago,
-  // when the instance could take less load.
-  const double factor =
-      contract.overloadFactor * warmFraction(contract, started, now - contract.overloadWindow);
-  const double ownPerWindow = factor * kMaxCountedShare * offer.warmDispatchesPerWindow;
-  const bool isCounted = ownPerWindow >= 1;
-  // All processes that draw share one counted dispatch per window.
-  const double perWindow = isCounted ? ownPerWindow : 1.0 / settings.nodes;
-  tokens_ = std::min(std::max(1.0, perWindow * kMaxBucketWindows),
-                     tokens_ + perWindow * ratio(now - refilledAt_, contract.overloadWindow));
-  refilledAt_ = now;
-  if (isCounted || tokens_ >= 1)
-    return tokens_ >= 1;
+bool SlowStartBudget::isPending(const Contract& contract, Time now) const {
+  return slotOf(contract, now) < firstSlot_;
+}
+
+void SlowStartBudget::enterSlot(const Contract& contract, Time now) {
   const std::int64_t slot = slotOf(contract, now);
-  const double offerProbability = std::min(1.0, factor * kMaxDrawnShare * offer.offeredShare);
-  const double probability = 1 - std::pow(1 - offerProbability, offer.instanceShare);
-  const auto slotsWaited = static_cast<double>(1 + slot - slotOf(contract, offer.since));
-  return slot != lastUsedSlot_ && stableDraw(seed_, slot) < std::pow(probability, slotsWaited);
+  if (slot == slot_)
+    return;
+  slot_ = slot;
+  sentInSlot_ = 0;
+}
+
+bool SlowStartBudget::admits(const Contract& contract, const SlowStartPart& part, Time now) {
+  if (isPending(contract, now))
+    return false;
+  enterSlot(contract, now);
+  // A process that may send one request in each window need not wait for a draw.
+  const bool sentInWindow = lastSentAt_ && now - *lastSentAt_ < contract.overloadWindow;
+  if (part.allowedPerWindow >= 1 && !sentInWindow)
+    return true;
+  const double slotWindows = 1.0 / slotsPerWindow_;
+  const double usedShare =
+      std::max(-std::expm1(-part.requestsPerWindow * slotWindows), kMeanShare / kMaxGrantedShare);
+  // A window also contains the rest of a slot, and what was in transit.
+  const double grantedShare =
+      std::max(kMaxShare / (1 + slotWindows + kTransitWindows), kMeanShare / usedShare);
+  const double grantedPerSlot = part.allowedPerWindow * grantedShare * slotWindows;
+  return sentInSlot_ < std::floor(grantedPerSlot + stableDraw(seed_, slot_));
 }
 
 void SlowStartBudget::countDispatch(const Contract& contract, Time now) {
-  tokens_ = std::max(0.0, tokens_ - 1);
-  lastUsedSlot_ = slotOf(contract, now);
+  enterSlot(contract, now);
+  ++sentInSlot_;
+  lastSentAt_ = now;
 }
 
 }  // namespace inference_router::routing
--- a/tests/cold_sum_test.cpp
+++ b/tests/cold_sum_test.cpp
@@ -137,6 +137,89 @@
                                                   scenariosForAnyNumberOfProcesses())),
                          nameOf);
 
+std::vector<SlowStartScenario> scenariosWithWarmInstancesLost() {
+  const std::vector<double> three(3, 1.0);
+  std::vector<SlowStartScenario> scenarios;
+  for (const double lostAfter : {0.5, 7.0, 9.5})
+    scenarios.push_back({.kind = kPrefill,
+                         .warmInstances = 9,
+                         .newWeights = three,
+                         .loadFactor = 3,
+                         .skewed = true,
+                         .lostWarm = 8,
+                         .lostAfter = lostAfter,
+                         .clientRetries = 4});
+  SlowStartScenario surge = scenarios.back();
+  surge.lostWarm = 0;
+  surge.loadFactor = 5;
+  scenarios.push_back(surge);
+  SlowStartScenario withoutTenants = scenarios[1];
+  withoutTenants.tenants = false;
+  scenarios.push_back(withoutTenants);
+  SlowStartScenario weights = scenarios[1];
+  weights.newWeights = {0.5, 1, 2};
+  weights.rolling = true;
+  scenarios.push_back(weights);
+  SlowStartScenario decode = scenarios[0];
+  decode.kind = kDecode;
+  decode.warmInstances = decode.lostWarm = 6;
+  scenarios.push_back(decode);
+  SlowStartScenario mixed = scenarios[0];
+  mixed.kind = kMixed;
+  mixed.lostWarm = 9;
+  scenarios.push_back(mixed);
+  return scenarios;
+}
+
+class WarmInstancesLost : public testing::TestWithParam<ScenarioRun> {};
+
+// Most warm instances fail while others are in slow start, and their clients come back: the sum
+// must not grow with what is offered, up to the last window that began in slow start.
+TEST_P(WarmInstancesLost, SumStaysWithinTheBudgetWhateverIsOffered) {
+  const auto& [nodes, scenario] = GetParam();
+  const std::uint64_t lastSeed = nodes < 900 ? 12 : 11;
+  for (std::uint64_t seed = 11; seed <= lastSeed; ++seed) {
+    SlowStartFleet fleet(nodes, seed, nodes, scenario);
+    for (const auto& [id, times] : fleet.run(20, 14))
+      EXPECT_LE(maxExcess(times, fleet, rateOf(scenario, sizeOf(scenario, id)), budgetBound), 0)
+          << nodes << " nodes, kind " << scenario.kind << ", lost after " << scenario.lostAfter
+          << " s, load factor " << scenario.loadFactor << ", tenants " << scenario.tenants
+          << ", seed " << seed << ": " << id << " got " << times.size();
+  }
+}
+INSTANTIATE_TEST_SUITE_P(SlowStartSum,
+                         WarmInstancesLost,
+                         testing::ValuesIn(runsOf({1, 30, 213, 900},
+                                                  scenariosWithWarmInstancesLost())),
+                         nameOf);
+
+// No setting tells how the capacity grows: an instance may have its initial share until it is warm.
+TEST(SlowStartSum, StaysWithinTheBudgetOfAnInstanceThatWarmsUpAtTheEndOnly) {
+  const std::vector<SlowStartScenario> scenarios = scenariosWithWarmInstancesLost();
+  for (const int nodes : {1, 30, 213})
+    for (const std::size_t index : {1, 2, 6}) {
+      const SlowStartScenario& scenario = scenarios[index];
+      SlowStartFleet fleet(nodes, 11, nodes, scenario);
+      for (const auto& [id, times] : fleet.run(20, 14))
+        EXPECT_LE(maxExcess(times, fleet, rateOf(scenario, 1), budgetBound, Growth::kAtEnd), 0)
+            << nodes << " nodes, scenario " << index << ": " << id << " got " << times.size();
+    }
+}
+
+// On a calm day instances in slow start are used, by one node as by many.
+TEST(SlowStartSum, InstancesInSlowStartAreUsedOnACalmDay) {
+  for (const int nodes : {1, 30, 213})
+    for (const bool tenants : {true, false}) {
+      const SlowStartScenario scenario{
+          .kind = kPrefill, .warmInstances = 9, .newWeights = {1, 1, 1}, .tenants = tenants};
+      SlowStartFleet fleet(nodes, 11, nodes, scenario);
+      std::size_t sends = 0;
+      for (const auto& [id, times] : fleet.run(20, 10))
+        sends += times.size();
+      EXPECT_GT(sends, 40U) << nodes << " nodes, tenants " << tenants;
+    }
+}
+
 // When the whole fleet starts at once, no node knows the warm weight of a role, but requests must
 // still be served.
 TEST(SlowStartSum, FleetThatStartsAsAWholeStaysWithinTheBudgetAndServesRequests) {
--- a/tests/router_health_test.cpp
+++ b/tests/router_health_test.cpp
@@ -142,18 +142,20 @@
 // Guards against an overload whose logs do not tell what was sent to the instance, and by which
 // news.
 TEST(SlowStart, IsLoggedWithItsNewsAndWhatWasSentAndDenied) {
+  const std::string budget = ", budget here: 1.000000 requests per window";
   RouterHarness router;
   router.updateEndpoints({endpoint("r0", kPrefill), slowStarting("w0", kDecode, router.now())});
   EXPECT_EQ(logOf(router),
-            std::vector<std::string>{"slow start of w0: started 0 ms ago, known by: first list"});
+            std::vector<std::string>{"slow start of w0: started 0 ms ago, known by: first list" +
+                                     budget});
   router.advance(1s).updateEndpoints({slowStarting("v0", kDecode, router.now())},
                                      EndpointListForm::kChanges);
-  EXPECT_EQ(logOf(router),
-            std::vector<std::string>{"slow start of v0: started 0 ms ago, known by: added"});
+  EXPECT_EQ(logOf(router), std::vector<std::string>{
+                               "slow start of v0: started 0 ms ago, known by: added" + budget});
   router.advance(1s).updateEndpoints({slowStarting("v0", kDecode, router.now())},
                                      EndpointListForm::kChanges);
-  EXPECT_EQ(logOf(router),
-            std::vector<std::string>{"slow start of v0: started 0 ms ago, known by: restarted"});
+  EXPECT_EQ(logOf(router), std::vector<std::string>{
+                               "slow start of v0: started 0 ms ago, known by: restarted" + budget});
   for (int i = 0; i < 40; ++i)
     router.advance(100ms).arrive(numbered("a", i));
   const SlowStartTotals totals = router.slowStartTotals();
--- a/tests/support/slow_start_fleet.h
+++ b/tests/support/slow_start_fleet.h
@@ -30,10 +30,18 @@
   int loadFactor = 1;    // times the usual load from the start of the new instances
   bool skewed = false;   // Zipf-distributed prefixes; the first has a quarter of the traffic
   bool allNodesStart =
-      false;  // every node starts together with the new instances, without earlier state
+      false;             // every node starts together with the new instances, without earlier state
+  bool tenants = true;   // the site has tenants with quotas
+  int lostWarm = 0;      // warm instances of the kind that stop taking connections
+  double lostAfter = 0;  // seconds after the start of the new instances
+  int clientRetries = 0;             // times that a client comes back whose request was not served
+  double requestsPerSecond = kLoad;  // of the whole fleet, before loadFactor
 };
 
 constexpr double kTimerInterval = 0.02;  // seconds between the timers of a node whose requests wait
+constexpr double kServiceSeconds = 0.06;  // at least
+constexpr double kConnectSeconds = 0.01;  // until a connection is refused
+constexpr double kReturnSeconds = 0.3;    // until a client comes back
 constexpr int kPrefixes = 40;
 constexpr double kMostPopularShare = 0.25;
 
@@ -56,13 +64,15 @@
   // split correctly.
   SlowStartFleet(int nodes, std::uint64_t seed, int assumedNodes, SlowStartScenario scenario = {})
       : scenario_(std::move(scenario)),
+        load_(scenario_.requestsPerSecond),
         random_(seed),
         prefixes_(distribution(scenario_.skewed, seed)) {
     starts_.resize(static_cast<std::size_t>(nodes));
     timerPending_.resize(static_cast<std::size_t>(nodes));
     settings_ = plainSettings();
     settings_.nodes = assumedNodes;
-    settings_.tenants = {{1.0, kInstanceRate * kWarmPrefillInstances * 0.8}};
+    if (scenario_.tenants)
+      settings_.tenants = {{1.0, kInstanceRate * kWarmPrefillInstances * 0.8}};
     for (int n = 0; n < nodes; ++n) {
       nodes_.push_back(start(usualEndpoints()));
       trafficWeights_.push_back(std::exp(
@@ -96,11 +106,11 @@
   const Settings& settings() const { return settings_; }
 
  private:
-  enum class StepKind { kPrefilled, kServed, kTimer };
+  enum class StepKind { kPrefilled, kServed, kTimer, kRefused, kReturns };
   struct Step {
     double at;
     std::size_t node;
-    int start;  // start count of the node: steps from before a restart are dropped
+    int start;  // start count of the node: steps from before a restart are dropped; of kReturns any
     StepKind kind;
     std::string id, instance;
     bool operator<(const Step& other) const { return at > other.at; }
@@ -161,21 +171,59 @@
       const char kind = send.instance.value[0];
       if (kind == 'c')
         dispatches_[send.instance.value].push_back(now_);
+      if (isLost(send.instance.value)) {
+        steps_.push({now_ + kConnectSeconds, n, starts_[n], StepKind::kRefused, send.request.value,
+                     send.instance.value});
+        continue;
+      }
       const bool prefills = kind == 'r' || (kind == 'c' && scenario_.kind == kPrefill);
-      steps_.push({now_ + 0.06, n, starts_[n], prefills ? StepKind::kPrefilled : StepKind::kServed,
-                   send.request.value, send.instance.value});
+      steps_.push({servedAt(send.instance.value), n, starts_[n],
+                   prefills ? StepKind::kPrefilled : StepKind::kServed, send.request.value,
+                   send.instance.value});
     }
+    for (const RejectRequest& rejected : nodes_[n]->actionsOf<RejectRequest>())
+      scheduleReturn(rejected.request.value);
+    for (const FailRequest& failed : nodes_[n]->actionsOf<FailRequest>())
+      scheduleReturn(failed.request.value);
     if (!timerPending_[n] && nodes_[n]->hasTimer())
       steps_.push({now_ + kTimerInterval, n, starts_[n], StepKind::kTimer, {}, {}});
     timerPending_[n] = timerPending_[n] || nodes_[n]->hasTimer();
   }
+  double servedAt(const std::string& instance) {
+    if (scenario_.tenants)
+      return now_ + kServiceSeconds;
+    double& busyUntil = busyUntil_[instance];
+    busyUntil = std::max(now_, busyUntil) + 1 / kInstanceRate;
+    return std::max(busyUntil, now_ + kServiceSeconds);
+  }
+  bool isLost(const std::string& instance) const {
+    const char kind = "rwm"[scenario_.kind];
+    return slowStartAt_ > 0 && now_ >= slowStartAt_ + scenario_.lostAfter && instance[0] == kind &&
+           std::stoi(instance.substr(1)) < scenario_.lostWarm;
+  }
+  // The id of a further try is that of the first one, a dot and the number of the try.
+  void scheduleReturn(const std::string& id) {
+    const std::size_t dot = id.find('.');
+    const int tries = dot == std::string::npos ? 0 : std::stoi(id.substr(dot + 1));
+    if (tries < scenario_.clientRetries)
+      steps_.push({now_ + kReturnSeconds,
+                   random_() % nodes_.size(),
+                   0,
+                   StepKind::kReturns,
+                   id.substr(0, dot) + "." + std::to_string(tries + 1),
+                   {}});
+  }
   void apply(const Step& step) {
     if (step.kind == StepKind::kTimer)
       timerPending_[step.node] = false;
     RouterHarness& node = nodeNow(step.node);
     if (step.kind == StepKind::kTimer)
       return;
-    if (step.kind == StepKind::kPrefilled) {
+    if (step.kind == StepKind::kReturns) {
+      node.arrive(step.id, numbered("p", nextPrefix()));
+    } else if (step.kind == StepKind::kRefused) {
+      node.endAttempt(step.id, step.instance, AttemptOutcome::kConnectFailed, Duration(10'000));
+    } else if (step.kind == StepKind::kPrefilled) {
       node.endAttempt(step.id, step.instance, AttemptOutcome::kPrefilled, Duration(60'000));
     } else {
       node.openStream(step.id, step.instance);
@@ -215,7 +263,7 @@
         break;
       steps_.pop();
       now_ = step.at;
-      if (step.start == starts_[step.node])
+      if (step.start == starts_[step.node] || step.kind == StepKind::kReturns)
         apply(step);
     }
     now_ = until;
@@ -223,7 +271,7 @@
 
   SlowStartScenario scenario_;
   Settings settings_;
-  double load_ = kLoad;
+  double load_;
   std::mt19937_64 random_;
   std::discrete_distribution<std::size_t> prefixes_;
   std::vector<std::unique_ptr<RouterHarness>> nodes_;
@@ -231,6 +279,7 @@
   std::priority_queue<Step> steps_;
   std::map<std::string, std::vector<double>> dispatches_;
   double now_ = 0, slowStartAt_ = 0;
+  std::map<std::string, double> busyUntil_;  // by instance
   std::vector<int> starts_;
   std::vector<bool> timerPending_;
   int arrivals_ = 0, totalStarts_ = 0;
@@ -247,12 +296,19 @@
   return n < kFewRequests ? n + 3 * std::sqrt(n) + 3 : strictBound(n);
 }
 
+// How the capacity of an instance grows while it warms up, which no setting tells.
+enum class Growth {
+  kLinear,  // from the initial share to all
+  kAtEnd    // it stays at the initial share until it is warm
+};
+
 // The largest number of requests in any window minus its bound, for an instance that serves `rate`
 // requests per second.
 inline double maxExcess(const std::vector<double>& sent,
                         const SlowStartFleet& fleet,
                         double rate = kInstanceRate,
-                        double (*bound)(double) = strictBound) {
+                        double (*bound)(double) = strictBound,
+                        Growth growth = Growth::kLinear) {
   const auto& contract = fleet.settings().contract;
   const double window = std::chrono::duration<double>(contract.overloadWindow).count();
   const double warm = std::chrono::duration<double>(contract.warmupDuration).count();
@@ -261,8 +317,9 @@
     std::size_t count = 0;
     while (i + count < sent.size() && sent[i + count] < sent[i] + window)
       ++count;
-    const double share =
-        std::clamp((sent[i] - fleet.slowStartAt()) / warm, contract.warmupInitialShare, 1.0);
+    const double age = (sent[i] - fleet.slowStartAt()) / warm;
+    const double grown = growth == Growth::kLinear ? age : std::floor(age);
+    const double share = std::clamp(grown, contract.warmupInitialShare, 1.0);
     const double n = contract.overloadFactor * share * rate * window;
     excess = std::max(excess, static_cast<double>(count) - bound(n));
   }
