Limit an instance that could not be reached until news of its restart must have come

Callers saw an instance fall as soon as it was back: a node that had not been told of the restart yet took it for warm, and in a large fleet the trial requests and then the usual traffic of all nodes met it within a second or two.

Cause: slow start began with the endpoint list alone. Change: in a fleet of 20 nodes or more, two attempts in a row that cannot connect make the instance count as started at the latest of them, for the 6 s after which the list counts as told. With fewer nodes one trial of each is no burst, and a limit would cost a small site more than it gains.

Test: SlowStart.InstanceThatCouldNotBeReachedIsLimitedUntilNewsOfARestartMustHaveCome. It was written with the change and not run without it.

--- a/src/routing/instance.h
+++ b/src/routing/instance.h
@@ -35,6 +35,10 @@
   Duration queueingDelay{};  ///< last observed delay before a prefill begins
   Time queueingDelayAt{};    ///< when it was observed
 
+  // Updated by SlowStart.
+  int connectFailures = 0;              ///< in a row, with little time between them
+  std::optional<Time> unreachableAt{};  ///< end of the last attempt that could not connect
+
   EjectionState ejection;
   SlowStartBudget slowStart;
   SlowStartRecord slowStartRecord;
--- a/src/routing/instance_registry.cpp
+++ b/src/routing/instance_registry.cpp
@@ -50,6 +50,8 @@
   if (added)
     instance.ejection.assumeHealthy();
   if (added || restarted) {
+    instance.connectFailures = 0;
+    instance.unreachableAt.reset();
     instance.slowStartRecord = {.news = added ? newsOfAdded : SlowStartNews::kRestarted};
     const bool mayHaveSent = added && newsOfAdded == SlowStartNews::kFirstList;
     instance.slowStart.reset(stableHash(seed_, entry.instance.value), settings_.nodes, mayHaveSent,
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -163,6 +163,8 @@
       return;
     Instance& instance = *attempt->instance;
     outcomes_.recordEnd(*request, *attempt, ended, requests_, context);
+    if (ended.outcome == AttemptOutcome::kConnectFailed)
+      SlowStart::recordConnectFailure(instance, context.now());
     if (ended.outcome == AttemptOutcome::kPrefilled || ended.outcome == AttemptOutcome::kServed)
       slowStart_.recordServed(*request, instance, context.now());
     lifecycle_.applyOutcome(*request, instance, ended, context);
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -16,6 +16,13 @@
 constexpr double kUnlistedWeight = 8;
 // Interval at which ends of slow starts are looked for.
 constexpr Duration kReportInterval = std::chrono::milliseconds{500};
+// Time after which a change of the endpoint list counts as known to every node.
+constexpr Duration kMaxNewsDelay = std::chrono::seconds{6};
+// Attempts in a row that cannot connect after which an instance may have ended. A single connection
+// may fail for another reason.
+constexpr int kFailuresOfAnEnd = 2;
+// Number of nodes from which one trial request of each may overload an instance.
+constexpr int kManyNodes = 20;
 
 double inSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -50,7 +57,24 @@
 }
 
 bool SlowStart::isLimited(const Instance& instance, Time now) const {
-  return loadLimit(settings_.contract, instance.endpoint.started, now).has_value();
+  return loadLimit(settings_.contract, startOf(instance, now), now).has_value();
+}
+
+// The start by the endpoint list or, if the instance may have restarted since, the latest time.
+std::optional<Time> SlowStart::startOf(const Instance& instance, Time now) const {
+  const std::optional<Time>& listed = instance.endpoint.started;
+  const bool mayHaveEnded = settings_.nodes >= kManyNodes &&
+                            instance.connectFailures >= kFailuresOfAnEnd &&
+                            now - *instance.unreachableAt < kMaxNewsDelay;
+  if (!mayHaveEnded)
+    return listed;
+  return std::max(listed.value_or(*instance.unreachableAt), *instance.unreachableAt);
+}
+
+void SlowStart::recordConnectFailure(Instance& instance, Time now) {
+  const bool inARow = instance.unreachableAt && now - *instance.unreachableAt < kMaxNewsDelay;
+  instance.connectFailures = inARow ? instance.connectFailures + 1 : 1;
+  instance.unreachableAt = now;
 }
 
 bool SlowStart::admits(Instance& instance, Time now) {
@@ -73,7 +97,7 @@
 
 // The instance may have restarted since, without the reservation.
 bool SlowStart::isCounted(const RequestRecord& request, Time now) const {
-  const bool isCurrent = request.reservation->endpoint.started <= request.reservedAt;
+  const bool isCurrent = startOf(*request.reservation, now) <= request.reservedAt;
   return isCurrent && now - request.reservedAt <= maxTransitTime(settings_.contract);
 }
 
@@ -108,7 +132,7 @@
 SlowStartPart SlowStart::partOf(const Instance& instance, Time now) const {
   const Contract& contract = settings_.contract;
   const double window = inSeconds(contract.overloadWindow);
-  const double limit = loadLimit(contract, instance.endpoint.started, now).value_or(0);
+  const double limit = loadLimit(contract, startOf(instance, now), now).value_or(0);
   const double allowed = limit * ownCapacity(instance, now) * window;
   // Without any estimate, all nodes together may send one request per window.
   return {.allowedPerWindow = std::max(allowed, 1.0 / settings_.nodes),
@@ -223,11 +247,12 @@
 }
 
 void SlowStart::logBegin(const Instance& instance, EventContext& context) const {
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      context.now() - *instance.endpoint.started);
+  const Time start = *startOf(instance, context.now());
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(context.now() - start);
+  const bool isListed = instance.endpoint.started == start;
+  const std::string news = isListed ? nameOf(instance.slowStartRecord.news) : "no connection";
   context.log("slow start of " + instance.endpoint.instance.value + ": started " +
-              std::to_string(age.count()) +
-              " ms ago, known by: " + nameOf(instance.slowStartRecord.news) +
+              std::to_string(age.count()) + " ms ago, known by: " + news +
               ", budget here: " + std::to_string(partOf(instance, context.now()).allowedPerWindow) +
               " requests per window");
 }
--- a/src/routing/slow_start.h
+++ b/src/routing/slow_start.h
@@ -61,6 +61,10 @@
   /// do: an idle instance can begin more answers than it can go on with.)
   void recordServed(const RequestRecord& request, const Instance& instance, Time now);
 
+  /// An attempt could not connect to the instance. Once it can again, it may have restarted without
+  /// news of it, and in a large fleet it is limited until the news must have come.
+  static void recordConnectFailure(Instance& instance, Time now);
+
   /// Logs the slow starts that began or ended. Looks for them at intervals, and at once after
   /// endpointsChanged().
   void report(EventContext& context);
@@ -73,6 +77,7 @@
   bool recentlyStarted(Time now) const {
     return now - startedAt_ < settings_.contract.warmupDuration;
   }
+  std::optional<Time> startOf(const Instance& instance, Time now) const;
   bool isCounted(const RequestRecord& request, Time now) const;
   double fullWeight(Role role) const;
   double stepCount(Role role) const;
--- a/tests/router_health_test.cpp
+++ b/tests/router_health_test.cpp
@@ -169,6 +169,35 @@
             2);
 }
 
+// Guards against many nodes that send to an instance as to a warm one, as it has restarted and the
+// news has not come yet.
+TEST(SlowStart, InstanceThatCouldNotBeReachedIsLimitedUntilNewsOfARestartMustHaveCome) {
+  constexpr int kNodes = 100;
+  Settings settings = plainSettings();
+  settings.nodes = kNodes;
+  int sentSoon = 0, sentLater = 0;
+  for (int n = 0; n < kNodes; ++n) {
+    RouterHarness router(settings, 100 + static_cast<std::uint64_t>(n));
+    router.updateEndpoints({endpoint("r0", kPrefill), endpoint("w0", kDecode)});
+    for (int i = 0; i < 4; ++i)
+      router.advance(15s).serve(numbered("warm", i));
+    for (int i = 0; i < 2; ++i) {
+      const std::string id = numbered("down", i);
+      ASSERT_EQ(router.advance(1100ms).arrive(id).sentTo(), "r0");
+      router.advance(10ms).endAttempt(id, "r0", AttemptOutcome::kConnectFailed);
+    }
+    router.advance(2100ms);
+    if (router.arrive("soon").sentTo() == "r0") {
+      ++sentSoon;
+      continue;
+    }
+    const bool sentMeanwhile = router.advance(4s).sentTo() == "r0";
+    sentLater += sentMeanwhile || router.arrive("later").sentTo() == "r0" ? 1 : 0;
+  }
+  EXPECT_LT(sentSoon, kNodes / 4);
+  EXPECT_EQ(sentSoon + sentLater, kNodes);
+}
+
 TEST(SlowStart, NewDecodeInstanceGetsFewerReservationsThanItsWarmPeer) {
   RouterHarness router;
   router.updateEndpoints({endpoint("r0", kPrefill), endpoint("w0", kDecode)});
