--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -29,12 +29,14 @@
 
 }  // namespace
 
+// Its parties are passed one by one, as in the other constructors that take them.
+// NOLINTNEXTLINE(readability-function-size)
 Instance::Instance(Environment& environment,
                    HeldStateMonitor& held,
                    ReservationRule rule,
                    int number,
                    std::string kind,
-                   const net::Endpoint& address,
+                   net::Endpoint address,
                    AnswerShape answers,
                    DrainNotifiedMs drainNotifiedMs)
     : environment_(environment),
@@ -44,7 +46,7 @@
       kind_(std::move(kind)),
       answers_(answers),
       drainNotifiedMs_(std::move(drainNotifiedMs)),
-      address_(address) {
+      address_(std::move(address)) {
   listen();
 }
 
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -47,7 +47,7 @@
            ReservationRule rule,
            int number,
            std::string kind,
-           const net::Endpoint& address,
+           net::Endpoint address,
            AnswerShape answers,
            DrainNotifiedMs drainNotifiedMs);
   void request(const std::shared_ptr<net::ClientConnection>& connection,
