Divert to an instance in slow start only what it can prefill in time

A request may be offered to any instance in slow start for which this node has a part of the budget left. One whose prefill would take most of the time to its objective there was refused as too late, though its usual instance was free. It is diverted now only if the prefill takes at most half of that time.

--- a/src/routing/prefill_selector.cpp
+++ b/src/routing/prefill_selector.cpp
@@ -15,6 +15,9 @@
 constexpr double kMaxQueueingPrefills = 1.5;
 // Maximum share of an instance's traffic that one affinity key may have.
 constexpr double kMaxKeyShare = 0.5;
+// Share of the time to the objective that a prefill may take at an instance in slow start that is
+// not the first in preference order.
+constexpr double kMaxSlowStartObjectiveShare = 0.5;
 
 }  // namespace
 
@@ -53,11 +56,13 @@
                                        const std::vector<Instance*>& order,
                                        Duration maxDelay,
                                        Time now) const {
+  const Duration maxTime = scaled(request.objectiveAt - now, kMaxSlowStartObjectiveShare);
   for (Instance* instance : order) {
     if (!inputs_.slowStart.isLimited(*instance, now) || !mayPrefill(request, *instance, now))
       continue;
-    if (inputs_.estimates.queueingDelay(*instance, now) <= maxDelay &&
-        inputs_.slowStart.admits(*instance, now))
+    const bool inTime = inputs_.estimates.queueingDelay(*instance, now) <= maxDelay &&
+                        inputs_.estimates.timeToPrefill(request, *instance, now) <= maxTime;
+    if (inTime && inputs_.slowStart.admits(*instance, now))
       return instance;
   }
   return nullptr;
