--- a/src/routing/duration_math.h
+++ b/src/routing/duration_math.h
@@ -15,6 +15,11 @@
   return static_cast<double>(numerator.count()) / static_cast<double>(divisor);
 }
 
+/// The duration in seconds.
+inline double inSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 /// Upper bound of estimated durations, in microseconds: about 30 years, so that sums of a few of
 /// them do not overflow.
 constexpr double kLongestMicroseconds = 1e15;
--- a/src/routing/served_rate.cpp
+++ b/src/routing/served_rate.cpp
@@ -7,13 +7,6 @@
 #include "routing/duration_math.h"
 
 namespace inference_router::routing {
-namespace {
-
-double inSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
 
 ServedRate::Observation ServedRate::observedAt(const Observation& observation, Time now) {
   Observation current = observation;
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -24,10 +24,6 @@
 // Number of nodes from which one trial request of each may overload an instance.
 constexpr int kManyNodes = 20;
 
-double inSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 double allowancePerSecond(const Settings& settings) {
   double sum = 0;
   for (const TenantSettings& tenant : settings.tenants)
