Soak: instances begin no more attempts than the capacity that the bound assumes

The emulated instances answered at once whatever they had, and the clients sent twice as much as the plan took for 0.6 of the capacity. Attempts now begin one after another at the instance's capacity, and the plan counts 3.2 requests a second for a client. The rule is unchanged.

--- a/soak/instance.cpp
+++ b/soak/instance.cpp
@@ -1,5 +1,6 @@
 #include "instance.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -82,6 +83,13 @@
   listen();
 }
 
+// How long an attempt that arrives now waits for those before it.
+double Instance::untilTurnMs() {
+  const double turnMs = std::max(now(), nextTurnMs_);
+  nextTurnMs_ = turnMs + turnMs_;
+  return turnMs - now();
+}
+
 // An instance that fell stays down.
 bool Instance::falls(const std::string& request) {
   if (!judge_ || !judge_(number_, request))
@@ -230,7 +238,8 @@
 
 void Instance::prefill(const Connection& connection, const std::string& request) {
   const bool isLong = environment_.drawn(0, 1) < kLongShare;
-  environment_.after(environment_.drawn(5, isLong ? 1'200 : 150), [this, connection, request] {
+  const double tookMs = untilTurnMs() + environment_.drawn(5, isLong ? 1'200 : 150);
+  environment_.after(tookMs, [this, connection, request] {
     const auto it = running_.find(connection.get());
     if (it == running_.end() || it->second.request != request)
       return;
@@ -241,7 +250,7 @@
 }
 
 void Instance::decode(const Connection& connection, const std::string& request) {
-  environment_.after(environment_.drawn(5, 150), [this, connection, request] {
+  environment_.after(untilTurnMs() + environment_.drawn(5, 150), [this, connection, request] {
     const auto it = running_.find(connection.get());
     if (it == running_.end() || it->second.request != request)
       return;
--- a/soak/instance.h
+++ b/soak/instance.h
@@ -60,6 +60,8 @@
   /// From now on attempts are turned away and reservations denied, as a draining instance may.
   void rejectNewWork() { rejectsNewWork_ = true; }
   void setAttemptJudge(AttemptJudge judge) { judge_ = std::move(judge); }
+  /// Attempts that it begins in a second, one after another.
+  void setCapacity(double perS) { turnMs_ = 1'000 / perS; }
   /// The process ends: connections are reset, and new ones refused.
   void goDown();
   /// A process starts at the same address, unless the last one fell.
@@ -86,6 +88,7 @@
   void readLate();
   void listen();
   bool falls(const std::string& request);
+  double untilTurnMs();
   void attempt(const Call& call, bool ignored);
   void prefill(const Connection& connection, const std::string& request);
   void decode(const Connection& connection, const std::string& request);
@@ -111,6 +114,7 @@
   DrainNotifiedMs drainNotifiedMs_;
   Behaviour behaviour_ = Behaviour::kServes;
   bool rejectsNewWork_ = false;
+  double turnMs_ = 0, nextTurnMs_ = 0;
   bool down_ = false, fell_ = false;
   AttemptJudge judge_;
   std::vector<Call> unread_;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -175,10 +175,12 @@
           [this](int node, int instance) { return drainNotifiedMs(node, instance); }));
       draining_.push_back(false);
       upSinceMs_.push_back(0);
-      if (plan_.capacityPerS > 0)
-        instances_.back()->setAttemptJudge([this](int instance, const std::string& request) {
-          return attemptArrived(instance, request);
-        });
+      if (plan_.capacityPerS <= 0)
+        continue;
+      instances_.back()->setCapacity(plan_.capacityPerS);
+      instances_.back()->setAttemptJudge([this](int instance, const std::string& request) {
+        return attemptArrived(instance, request);
+      });
     }
   }
 
--- a/soak/slow_start_plan.cpp
+++ b/soak/slow_start_plan.cpp
@@ -10,7 +10,7 @@
 
 constexpr int kRoles = 3;                       // prefill, decode and mixed by number
 constexpr double kLoadShare = 0.6;              // of the capacity, by the usual clients
-constexpr double kRequestsPerClientAndS = 1.6;  // with the gaps and answers of this emulator
+constexpr double kRequestsPerClientAndS = 3.2;  // with the gaps and answers of this emulator
 constexpr double kAllowanceShare = 0.85;        // of the capacity, in the settings
 constexpr int kMinWarmupMs = 5'000, kMaxWarmupMs = 8'000;
 constexpr int kFirstStartMs = 500, kMaxStartSpreadMs = 1'500;
