--- a/src/routing/slow_start_budget.cpp
+++ b/src/routing/slow_start_budget.cpp
@@ -42,9 +42,9 @@
   const double lifted = ratio(now - lastWindowEnds, scaled(contract.overloadWindow, kLiftWindows));
   if (lifted >= 1)
     return std::nullopt;
-  // The window that ends now began when the instance could take less.
-  const double share = warmFraction(contract, started, now - contract.overloadWindow);
-  const double limit = std::min(1.0, contract.overloadFactor * share);
+  // How the capacity grows is not disclosed: an instance may have its initial share until it is
+  // warm.
+  const double limit = std::min(1.0, contract.overloadFactor * contract.warmupInitialShare);
   return limit + std::max(0.0, lifted) * std::max(0.0, contract.overloadFactor - limit);
 }
 
--- a/src/routing/slow_start_budget.h
+++ b/src/routing/slow_start_budget.h
@@ -23,8 +23,8 @@
 double warmFraction(const Contract& contract, std::optional<Time> started, Time now);
 
 /// Load by which an instance is limited at its age, as a multiple of its capacity: while a window
-/// may have begun before it was warm, what it can take then and at most its capacity; afterwards
-/// more and more. Nothing if there is no limit.
+/// may have begun before it was warm, what it can take at its initial share, and at most its
+/// capacity; afterwards more and more. Nothing if there is no limit.
 std::optional<double> loadLimit(const Contract& contract, std::optional<Time> started, Time now);
 
 /// How long before its arrival at the instance an attempt may be counted: it waits for a
