--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -516,14 +516,17 @@
     ++changes_;
     for (auto& node : nodes_) {
       tellList(*node, instance);
-      // While discovery is down its agent learns nothing; what it gets at its return counts at
-      // once.
-      const double toldMs =
-          std::max({clock_.nowMs(), node->listKnownFromMs, node->agent->downUntilMs()});
-      node->drainNotifiedMs.emplace(instance, toldMs + kNotificationSlackMs);
+      node->drainNotifiedMs.emplace(instance, changeNotifiedMs(*node));
     }
   }
 
+  // When a change that discovery learns now counts as told to the router. While discovery is down
+  // its agent learns nothing; what it gets at its return counts at once.
+  double changeNotifiedMs(const Node& node) const {
+    return std::max({clock_.nowMs(), node.listKnownFromMs, node.agent->downUntilMs()}) +
+           kNotificationSlackMs;
+  }
+
   void restart(int instance, const PlannedFault& fault) {
     if (fault.drainMs > 0)
       drain(instance);
@@ -556,9 +559,7 @@
     for (auto& node : nodes_) {
       tellList(*node, instance);
       node->drainNotifiedMs.erase(instance);
-      node->startNotifiedMs[instance] =
-          std::max({clock_.nowMs(), node->listKnownFromMs, node->agent->downUntilMs()}) +
-          kNotificationSlackMs;
+      node->startNotifiedMs[instance] = changeNotifiedMs(*node);
     }
   }
 
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -24,6 +24,12 @@
 // Number of nodes from which one trial request of each may overload an instance.
 constexpr int kManyNodes = 20;
 
+// The rate of events, per second, whose decayed count covers that much time.
+double ratePerSecond(double decayedCount, Duration observedFor) {
+  const double observedShare = -std::expm1(-ratio(observedFor, kTrafficTimeConstant));
+  return decayedCount / (inSeconds(kTrafficTimeConstant) * observedShare);
+}
+
 double allowancePerSecond(const Settings& settings) {
   double sum = 0;
   for (const TenantSettings& tenant : settings.tenants)
@@ -144,13 +150,9 @@
 double SlowStart::requestsPerSecond(Time now) const {
   const Duration window = settings_.contract.overloadWindow;
   const Duration observedFor = std::max(now - startedAt_, window);
-  const auto perSecond = [](double arrivals, double seconds) {
-    return std::max(0.0, arrivals - 1) / seconds;
-  };
-  const double mean = perSecond(
-      popularity_.arrivals(now),
-      inSeconds(kTrafficTimeConstant) * -std::expm1(-ratio(observedFor, kTrafficTimeConstant)));
-  return std::max(mean, perSecond(recentArrivals_.at(now, window), inSeconds(window)));
+  const double mean = ratePerSecond(std::max(0.0, popularity_.arrivals(now) - 1), observedFor);
+  const double recentArrivals = std::max(0.0, recentArrivals_.at(now, window) - 1);
+  return std::max(mean, recentArrivals / inSeconds(window));
 }
 
 // This node's part of what the instance can do once it is warm, in requests per second.
@@ -172,8 +174,7 @@
 // started does not extrapolate from its first requests, as clients may come back all at once.
 double SlowStart::ownDemand(Time now) const {
   const Duration observedFor = std::max(now - startedAt_, settings_.contract.warmupDuration);
-  const double observedShare = -std::expm1(-ratio(observedFor, kTrafficTimeConstant));
-  return popularity_.arrivals(now) / (inSeconds(kTrafficTimeConstant) * observedShare);
+  return ratePerSecond(popularity_.arrivals(now), observedFor);
 }
 
 // The number of listed instances that do the same step; at least 1.
